--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+.PHONY: build test demo generate bench lint
+
+BIN := bin
+
+build:
+	go build -o $(BIN)/ ./cmd/... ./test/standin
+
+test:
+	go test ./...
+
+demo: build
+	$(BIN)/comfreycart demo
+
+generate:
+	PATH="$$(go env GOPATH)/bin:$$PATH" go generate ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+lint:
+	test -z "$$(gofmt -l cmd internal test)"
+	go vet ./...
+	go tool staticcheck ./...
--- /dev/null
+++ b/internal/api/admin/admin.go
@@ -0,0 +1,291 @@
+// Package admin serves the operators' API under /admin/v1/.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/api/problem"
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/system/settingsync"
+)
+
+const maxSettingsBytes = 16 << 20
+
+// Reasons of the admin API's own refusals.
+const (
+	reasonForbidden   call.Reason = "forbidden"
+	reasonInvalid     call.Reason = "invalid-settings"
+	reasonChanged     call.Reason = "changed"
+	reasonUnsettled   call.Reason = "unsettled"
+	reasonNotFound    call.Reason = "not-found"
+	reasonUnavailable call.Reason = "platform-unavailable"
+)
+
+// Status is the answer of GET /admin/v1/status.
+type Status struct {
+	Node            string   `json:"node"`
+	SettingsVersion uint64   `json:"settingsVersion"`
+	StalenessMs     int64    `json:"stalenessMs"`
+	Members         []Member `json:"members"`
+}
+
+// Member is a node as the asked node sees it.
+type Member struct {
+	ID        string     `json:"id"`
+	Domain    string     `json:"domain"`
+	Address   string     `json:"address"`
+	State     string     `json:"state"`
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
+// Endpoint is a backend server as its node tells about it.
+type Endpoint struct {
+	Service string `json:"service"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+}
+
+// StatusSource tells what GET /admin/v1/status answers.
+type StatusSource interface {
+	Status(ctx context.Context) Status
+}
+
+// Handler answers operators. It is safe for concurrent use.
+type Handler struct {
+	tokenHash string
+	current   *settingsync.Current
+	acceptor  *settingsync.Acceptor
+	status    StatusSource
+	log       zerolog.Logger
+}
+
+// New returns a handler; the token with tokenHash may change everything.
+func New(tokenHash string, c *settingsync.Current, a *settingsync.Acceptor, s StatusSource, log zerolog.Logger) *Handler {
+	return &Handler{tokenHash: tokenHash, current: c, acceptor: a, status: s, log: log}
+}
+
+// Routes returns the listener's handler.
+func (h *Handler) Routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /admin/v1/status", h.getStatus)
+	mux.HandleFunc("GET /admin/v1/settings", h.getTree)
+	mux.HandleFunc("PUT /admin/v1/settings", h.putTree)
+	mux.HandleFunc("GET /admin/v1/settings/{team}", h.getTeam)
+	mux.HandleFunc("PUT /admin/v1/settings/{team}", h.putTeam)
+	mux.HandleFunc("POST /admin/v1/keys/{team}/{account}", h.grantKey)
+	mux.HandleFunc("DELETE /admin/v1/keys/{team}/{account}/{id}", h.withdrawKey)
+	return mux
+}
+
+// allowed reports whether the request's token may change team; "" is the whole tree.
+func (h *Handler) allowed(r *http.Request, team string) bool {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return false
+	}
+	hash := settings.HashKey(token)
+	if hash == h.tokenHash {
+		return true
+	}
+	v := h.current.View()
+	if v == nil || team == "" {
+		return false
+	}
+	for _, known := range v.Tree.Deployment.TeamTokens[team] {
+		if known == hash {
+			return true
+		}
+	}
+	return false
+}
+
+// guard answers 403 and reports false if the request's token may not touch team.
+func (h *Handler) guard(w http.ResponseWriter, r *http.Request, team string) bool {
+	if h.allowed(r, team) {
+		return true
+	}
+	problem.WriteDocument(w, problem.Document{
+		Status: http.StatusForbidden, Reason: reasonForbidden, Detail: "the token does not cover this subtree",
+	})
+	return false
+}
+
+func (h *Handler) getStatus(w http.ResponseWriter, r *http.Request) {
+	if h.anyToken(r) {
+		writeJSON(w, http.StatusOK, h.status.Status(r.Context()))
+		return
+	}
+	h.guard(w, r, "")
+}
+
+func (h *Handler) anyToken(r *http.Request) bool {
+	if h.allowed(r, "") {
+		return true
+	}
+	if v := h.current.View(); v != nil {
+		for team := range v.Tree.Teams {
+			if h.allowed(r, team) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (h *Handler) getTree(w http.ResponseWriter, r *http.Request) {
+	if !h.guard(w, r, "") {
+		return
+	}
+	tree, _, err := h.acceptor.Read(r.Context())
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	w.Header().Set("ETag", etag(tree))
+	writeJSON(w, http.StatusOK, tree)
+}
+
+func (h *Handler) getTeam(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("team")
+	if !h.guard(w, r, name) {
+		return
+	}
+	tree, _, err := h.acceptor.Read(r.Context())
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	team, ok := tree.Teams[name]
+	if !ok {
+		problem.WriteDocument(w, problem.Document{
+			Status: http.StatusNotFound, Reason: reasonNotFound, Detail: "there is no team " + name,
+		})
+		return
+	}
+	w.Header().Set("ETag", etag(team))
+	writeJSON(w, http.StatusOK, team)
+}
+
+func (h *Handler) putTree(w http.ResponseWriter, r *http.Request) {
+	if !h.guard(w, r, "") {
+		return
+	}
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	next, err := settings.Parse(body)
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	match := r.Header.Get("If-Match")
+	h.accept(w, r, func(t *settings.Tree) error {
+		if match != "" && match != etag(t) {
+			return settingsync.ErrChanged
+		}
+		*t = *next
+		return nil
+	}, nil)
+}
+
+func (h *Handler) putTeam(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("team")
+	if !h.guard(w, r, name) {
+		return
+	}
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	next, err := settings.ParseTeam(body)
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	match := r.Header.Get("If-Match")
+	h.accept(w, r, func(t *settings.Tree) error {
+		old, exists := t.Teams[name]
+		if match != "" && (!exists || match != etag(old)) {
+			return settingsync.ErrChanged
+		}
+		t.Teams[name] = next
+		return nil
+	}, nil)
+}
+
+// Accepted is the answer to an accepted change.
+type Accepted struct {
+	Version  uint64 `json:"version"`
+	ChangeID string `json:"changeId"`
+	// Key is a granted key; it is shown once and stored nowhere.
+	Key string `json:"key,omitempty"`
+	// KeyID names the granted key for its withdrawal.
+	KeyID string `json:"keyId,omitempty"`
+}
+
+// accept applies a change; more may add to the answer.
+func (h *Handler) accept(w http.ResponseWriter, r *http.Request, apply func(*settings.Tree) error, more func(*Accepted)) {
+	id := r.Header.Get("Change-Id")
+	if id == "" {
+		id = uuid.NewString()
+	}
+	version, err := h.acceptor.Accept(r.Context(), settingsync.Change{ID: id, Apply: apply})
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	h.log.Info().Uint64("version", version).Str("change", id).Msg("change accepted")
+	a := Accepted{Version: version, ChangeID: id}
+	if more != nil {
+		more(&a)
+	}
+	writeJSON(w, http.StatusOK, a)
+}
+
+func (h *Handler) fail(w http.ResponseWriter, err error) {
+	d := problem.Document{Status: http.StatusServiceUnavailable, Reason: reasonUnavailable, Detail: err.Error()}
+	var fault *settings.Fault
+	switch {
+	case errors.As(err, &fault):
+		d = problem.Document{Status: http.StatusUnprocessableEntity, Reason: reasonInvalid, Detail: fault.Problem, Path: fault.Path}
+	case errors.Is(err, settingsync.ErrChanged):
+		d.Status, d.Reason = http.StatusPreconditionFailed, reasonChanged
+	case errors.Is(err, settingsync.ErrUnsettled):
+		d.Status, d.Reason = http.StatusGatewayTimeout, reasonUnsettled
+	}
+	problem.WriteDocument(w, d)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	var raw json.RawMessage
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSettingsBytes)).Decode(&raw); err != nil {
+		problem.WriteDocument(w, problem.Document{
+			Status: http.StatusBadRequest, Reason: call.BadRequest, Detail: "the body is not JSON: " + err.Error(),
+		})
+		return nil, false
+	}
+	return raw, true
+}
+
+func etag(v any) string {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return `""`
+	}
+	return `"` + settingsync.Digest(data)[:32] + `"`
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/api/backend/backend.go
@@ -0,0 +1,125 @@
+// Package backend serves the announcements of the backend servers on this VM.
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+
+	"comfreycart.dev/comfreycart/internal/api/problem"
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/entry"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+const (
+	maxAnnouncementBytes = 64 << 10
+	// heartbeatMs is how often a backend server is asked to announce itself.
+	heartbeatMs = 500
+)
+
+// Announcement is what a backend server says of itself.
+type Announcement struct {
+	Service string `json:"service"`
+	// Address is where it takes calls, as IP:port.
+	Address string `json:"address"`
+	// Slots is how many calls it runs at a time; 0 means the service's setting.
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	State       string `json:"state"`
+}
+
+// Acknowledgement answers an announcement.
+type Acknowledgement struct {
+	// Egress is the URL for the backend server's sub-calls.
+	Egress string `json:"egress"`
+	// HeartbeatMs is the time between announcements, in milliseconds.
+	HeartbeatMs int `json:"heartbeatMs"`
+}
+
+// Observer is told of each announced service.
+type Observer interface {
+	Gauges(service string)
+}
+
+// Handler takes announcements. It is safe for concurrent use.
+type Handler struct {
+	clock    clock.Clock
+	views    entry.Views
+	locals   *table.Locals
+	observer Observer
+	egress   string
+}
+
+// New returns a handler that points backend servers to egress for their sub-calls.
+func New(c clock.Clock, v entry.Views, locals *table.Locals, o Observer, egress string) *Handler {
+	return &Handler{clock: c, views: v, locals: locals, observer: o, egress: egress}
+}
+
+// Routes returns the listener's handler.
+func (h *Handler) Routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /announce", h.announce)
+	return mux
+}
+
+func (h *Handler) announce(w http.ResponseWriter, r *http.Request) {
+	var a Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&a); err != nil {
+		refuse(w, "", err.Error())
+		return
+	}
+	if path, problem := h.fault(&a); problem != "" {
+		refuse(w, path, problem)
+		return
+	}
+	h.locals.Announce(table.Local{
+		Service: a.Service, Address: a.Address, Slots: a.Slots, Connections: a.Connections,
+		State: table.EndpointState(a.State), Heard: h.clock.Now(),
+	})
+	h.observer.Gauges(a.Service)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Acknowledgement{Egress: h.egress, HeartbeatMs: heartbeatMs})
+}
+
+// fault returns the path and problem of a bad announcement; it fills in sizes that
+// the service's settings give.
+func (h *Handler) fault(a *Announcement) (path, problem string) {
+	if a.Service == "" {
+		return "/service", "is required"
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return "/address", fmt.Sprintf("%q: want IP:port", a.Address)
+	}
+	switch table.EndpointState(a.State) {
+	case table.Ready, table.Warming, table.Draining:
+	default:
+		return "/state", fmt.Sprintf("%q: want ready, warming or draining", a.State)
+	}
+	if v := h.views.View(); v != nil {
+		s := v.Services[a.Service]
+		if a.Slots == 0 {
+			a.Slots = s.Slots
+		}
+		if a.Connections == 0 {
+			a.Connections = s.Connections
+		}
+	}
+	if a.Slots < 1 {
+		return "/slots", "must be at least 1, here or in the service's settings"
+	}
+	if a.Connections < 0 {
+		return "/connections", "must not be negative"
+	}
+	return "", ""
+}
+
+func refuse(w http.ResponseWriter, path, detail string) {
+	problem.WriteDocument(w, problem.Document{
+		Status: http.StatusBadRequest, Reason: call.BadRequest, Detail: detail, Path: path,
+	})
+}
--- /dev/null
+++ b/internal/api/egress/egress.go
@@ -0,0 +1,103 @@
+// Package egress serves the sub-calls of the backend servers on this VM.
+package egress
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/api"
+	"comfreycart.dev/comfreycart/internal/api/problem"
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/entry"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+// headerCall carries the handle of the call that a sub-call belongs to.
+const headerCall = "Comfreycart-Call"
+
+// Handler answers sub-calls. It is safe for concurrent use.
+type Handler struct {
+	clock      clock.Clock
+	views      entry.Views
+	calls      *table.Calls
+	dispatcher entry.Dispatcher
+	metric     *metric.Set
+	log        zerolog.Logger
+}
+
+// New returns a handler for the calls that run on this VM.
+func New(c clock.Clock, v entry.Views, calls *table.Calls, d entry.Dispatcher, m *metric.Set, log zerolog.Logger) *Handler {
+	return &Handler{clock: c, views: v, calls: calls, dispatcher: d, metric: m, log: log}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	result := h.serve(w, r)
+	if f := result.Failure; f != nil {
+		h.metric.Refused(f.Reason)
+		h.log.Debug().Str("reason", string(f.Reason)).Str("outcome", string(f.Outcome)).Str("path", r.URL.Path).Msg("sub-call refused")
+		problem.Write(w, f)
+		return
+	}
+	api.WriteAnswer(w, result.Answer)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) call.Result {
+	parent := h.calls.Get(r.Header.Get(headerCall))
+	if parent == nil {
+		return call.Result{Failure: call.Refuse(call.HandleUnknown, "no running call has this handle")}
+	}
+	view := h.views.View()
+	if view == nil {
+		return call.Result{Failure: call.Refuse(call.SettingsMissing, "the node has no settings yet")}
+	}
+	route, ok := view.Route(r.Method, r.URL.Path, true)
+	if !ok {
+		return call.Result{Failure: call.Refuse(call.NoRoute, "no route for %s %s", r.Method, r.URL.Path)}
+	}
+	timeout, f := api.Timeout(r.Header, route.Deadline)
+	if f != nil {
+		return call.Result{Failure: f}
+	}
+	body, f := api.ReadBody(w, r, route.BodyLimitBytes)
+	if f != nil {
+		return call.Result{Failure: f}
+	}
+	c := h.subCall(parent, route, api.Forwarded(r, body, ""))
+	c.Deadline = min(parent.Call.Deadline, h.clock.Now().Add(timeout))
+	return h.run(r.Context(), parent, c)
+}
+
+func (h *Handler) subCall(parent *table.Running, route *settings.CompiledRoute, r *call.Request) *call.Call {
+	return &call.Call{
+		ID:          call.NewID(),
+		Account:     parent.Call.Account,
+		Service:     route.Service,
+		Route:       route.Name,
+		Priority:    parent.Call.Priority,
+		Idempotent:  route.Idempotent,
+		Allowance:   parent.TakeAllowance(),
+		Depth:       parent.Call.Depth + 1,
+		Spent:       parent.Call.Spent,
+		AnswerLimit: route.AnswerLimitBytes,
+		Request:     r,
+	}
+}
+
+// run sends the sub-call; it ends with its parent at the latest.
+func (h *Handler) run(ctx context.Context, parent *table.Running, c *call.Call) call.Result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(parent.Ctx, cancel)()
+	result := h.dispatcher.Do(ctx, c)
+	parent.ReturnAllowance(result.Unused)
+	if result.Overloaded {
+		parent.MarkOverloaded()
+	}
+	return result
+}
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,125 @@
+// Package call holds the messages of one request on its way through the nodes:
+// the request, its answer, and the typed failure that replaces an answer.
+package call
+
+import (
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"comfreycart.dev/comfreycart/internal/clock"
+)
+
+// ID names one call on one hop. It is unique across the fleet.
+type ID [16]byte
+
+// NewID returns a random call ID.
+func NewID() ID { return ID(uuid.New()) }
+
+// String returns the ID in hexadecimal.
+func (id ID) String() string { return hex.EncodeToString(id[:]) }
+
+// Priority orders requests under overload; a higher one is shed later.
+type Priority uint8
+
+// The priorities, lowest first.
+const (
+	Low Priority = iota
+	Normal
+	High
+	Critical
+	// Priorities is the number of priorities.
+	Priorities
+)
+
+var priorityNames = [Priorities]string{"low", "normal", "high", "critical"}
+
+// String returns the priority's name in the settings.
+func (p Priority) String() string {
+	if p >= Priorities {
+		return "invalid"
+	}
+	return priorityNames[p]
+}
+
+// ParsePriority turns a name from the settings into a Priority.
+func ParsePriority(name string) (Priority, bool) {
+	for i, n := range priorityNames {
+		if n == name {
+			return Priority(i), true
+		}
+	}
+	return Low, false
+}
+
+// Request is an HTTP request whose body has been read whole. It never carries
+// the caller's key.
+type Request struct {
+	Method   string
+	Path     string
+	RawQuery string
+	Header   http.Header
+	Body     []byte
+}
+
+// Answer is a whole HTTP answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call is one hop of a request: from a caller or a backend server to a service.
+type Call struct {
+	ID       ID
+	Account  string
+	Service  string
+	Route    string
+	Priority Priority
+	// Idempotent calls may be sent again after an unknown outcome.
+	Idempotent bool
+	// Deadline is on this node's clock.
+	Deadline clock.Time
+	// Allowance is how many retries the call and all its sub-calls may still spend.
+	Allowance int
+	// Depth is 0 for a caller's request and grows by one with each sub-call.
+	Depth int
+	// Spent is the service time already used by the request that this call is part of.
+	Spent time.Duration
+	// AnswerLimit bounds the answer's body in bytes.
+	AnswerLimit int64
+	Request     *Request
+}
+
+// Result is what a call came to: exactly one of Answer and Failure is set.
+type Result struct {
+	Answer  *Answer
+	Failure *Failure
+	// Unused is the part of the allowance that was not spent.
+	Unused int
+	// Overloaded is set when a refusal for overload lies below; it forbids retries above.
+	Overloaded bool
+	// Feedback is the serving endpoint's load, nil if the call reached none.
+	Feedback *Feedback
+}
+
+// Feedback is an endpoint's own view of its load, sent with each answer.
+type Feedback struct {
+	// Threshold is the lowest priority that the endpoint admits now.
+	Threshold Priority
+	// ShareMilli is the part of calls at Threshold that is admitted, in thousandths.
+	ShareMilli uint32
+	// InFlight is the number of calls running at the endpoint.
+	InFlight uint32
+	// Limit is the endpoint's concurrency limit.
+	Limit uint32
+	// Queued is the number of calls waiting at the endpoint.
+	Queued uint32
+}
+
+// Fail returns the result of a call that came to a failure, with its allowance unspent.
+func Fail(f *Failure, unused int) Result {
+	return Result{Failure: f, Unused: unused, Overloaded: f.Overload()}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,182 @@
+// Package config holds a node's own file: its addresses, its failure domain, and
+// where it finds the platform and a few contacts.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+)
+
+// Node is the content of a node's file.
+type Node struct {
+	// ID names the node; it is unique in the deployment.
+	ID string `json:"id"`
+	// Deployment names the settings that the node serves.
+	Deployment string `json:"deployment"`
+	// Domain is the node's failure domain.
+	Domain   string   `json:"domain"`
+	Listen   Listen   `json:"listen"`
+	Platform Platform `json:"platform"`
+	// Contacts are peer addresses to join by, beside those in the platform's table.
+	Contacts []string `json:"contacts,omitempty"`
+	// AdminTokenSHA256 is the hex hash of the token that may change everything.
+	AdminTokenSHA256 string `json:"adminTokenSha256"`
+	// DrainMs bounds a planned stop, in milliseconds; 0 means the default.
+	DrainMs int64 `json:"drainMs,omitempty"`
+}
+
+// Listen gives the node's listeners as IP:port.
+type Listen struct {
+	// Caller serves callers.
+	Caller string `json:"caller"`
+	// Backend takes the announcements of the local backend servers.
+	Backend string `json:"backend"`
+	// Egress takes their sub-calls.
+	Egress string `json:"egress"`
+	// Peer serves other nodes.
+	Peer string `json:"peer"`
+	// Admin serves operators.
+	Admin string `json:"admin"`
+	// Metrics serves /metrics.
+	Metrics string `json:"metrics"`
+}
+
+// Platform says how to reach the platform's service.
+type Platform struct {
+	URL string `json:"url"`
+	// TimeoutMs bounds one call, in milliseconds; 0 means the default.
+	TimeoutMs int64 `json:"timeoutMs,omitempty"`
+}
+
+// Defaults of values that may be left out.
+const (
+	DefaultPlatformTimeout = time.Second
+	DefaultDrain           = 30 * time.Second
+)
+
+// Error says what is wrong with a node's file, and where.
+type Error struct {
+	// Path is a JSON pointer into the file.
+	Path    string
+	Problem string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Path == "" {
+		return "node file: " + e.Problem
+	}
+	return "node file: " + e.Path + ": " + e.Problem
+}
+
+// Load reads and checks a node's file. Its error is an *Error.
+func Load(path string) (*Node, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Problem: err.Error()}
+	}
+	return Parse(data)
+}
+
+// Parse decodes and checks a node's file. Its error is an *Error.
+func Parse(data []byte) (*Node, error) {
+	var n Node
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&n); err != nil {
+		return nil, &Error{Problem: err.Error()}
+	}
+	if err := n.Validate(); err != nil {
+		return nil, err
+	}
+	return &n, nil
+}
+
+// PlatformTimeout is the bound of one call to the platform.
+func (n *Node) PlatformTimeout() time.Duration {
+	if n.Platform.TimeoutMs == 0 {
+		return DefaultPlatformTimeout
+	}
+	return time.Duration(n.Platform.TimeoutMs) * time.Millisecond
+}
+
+// Drain is the bound of a planned stop.
+func (n *Node) Drain() time.Duration {
+	if n.DrainMs == 0 {
+		return DefaultDrain
+	}
+	return time.Duration(n.DrainMs) * time.Millisecond
+}
+
+// Validate checks the file; its error is an *Error that names the first fault.
+func (n *Node) Validate() error {
+	checks := []func() error{n.checkNames, n.checkListen, n.checkPlatform, n.checkContacts}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) checkNames() error {
+	names := []struct{ path, value string }{
+		{"/id", n.ID}, {"/deployment", n.Deployment}, {"/domain", n.Domain},
+	}
+	for _, f := range names {
+		if f.value == "" {
+			return &Error{f.path, "is required"}
+		}
+	}
+	if len(n.AdminTokenSHA256) != 64 {
+		return &Error{"/adminTokenSha256", "want a SHA-256 in hexadecimal"}
+	}
+	if n.DrainMs < 0 {
+		return &Error{"/drainMs", "must not be negative"}
+	}
+	return nil
+}
+
+func (n *Node) checkListen() error {
+	listeners := []struct{ path, value string }{
+		{"/listen/caller", n.Listen.Caller}, {"/listen/backend", n.Listen.Backend},
+		{"/listen/egress", n.Listen.Egress}, {"/listen/peer", n.Listen.Peer},
+		{"/listen/admin", n.Listen.Admin}, {"/listen/metrics", n.Listen.Metrics},
+	}
+	seen := map[string]string{}
+	for _, l := range listeners {
+		if _, err := netip.ParseAddrPort(l.value); err != nil {
+			return &Error{l.path, fmt.Sprintf("%q: want IP:port", l.value)}
+		}
+		if other, ok := seen[l.value]; ok {
+			return &Error{l.path, "same address as " + other}
+		}
+		seen[l.value] = l.path
+	}
+	return nil
+}
+
+func (n *Node) checkPlatform() error {
+	u, err := url.Parse(n.Platform.URL)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return &Error{"/platform/url", fmt.Sprintf("%q: want an http or https URL", n.Platform.URL)}
+	}
+	if n.Platform.TimeoutMs < 0 {
+		return &Error{"/platform/timeoutMs", "must not be negative"}
+	}
+	return nil
+}
+
+func (n *Node) checkContacts() error {
+	for i, c := range n.Contacts {
+		if _, err := netip.ParseAddrPort(c); err != nil {
+			return &Error{fmt.Sprintf("/contacts/%d", i), fmt.Sprintf("%q: want IP:port", c)}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,99 @@
+// Package entry takes callers' requests in: it finds the route, authenticates the
+// key, holds the account to its rate, and sends the request on its way.
+package entry
+
+import (
+	"context"
+	"time"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/settings"
+)
+
+// Views gives the settings in force, nil before the first version.
+type Views interface {
+	View() *settings.View
+}
+
+// Freshness says whether this node's settings can be trusted to be in force.
+type Freshness interface {
+	// Fresh returns a refusal while they cannot.
+	Fresh() *call.Failure
+}
+
+// Shares holds accounts to their rate over the whole fleet.
+type Shares interface {
+	// Take spends one token of the account, or refuses.
+	Take(ctx context.Context, v *settings.View, account string) *call.Failure
+}
+
+// Dispatcher sends calls to endpoints.
+type Dispatcher interface {
+	Do(ctx context.Context, c *call.Call) call.Result
+}
+
+// Gate admits callers' requests. It is safe for concurrent use.
+type Gate struct {
+	clock      clock.Clock
+	views      Views
+	freshness  Freshness
+	shares     Shares
+	dispatcher Dispatcher
+}
+
+// New returns a gate in front of the dispatcher.
+func New(c clock.Clock, v Views, f Freshness, s Shares, d Dispatcher) *Gate {
+	return &Gate{clock: c, views: v, freshness: f, shares: s, dispatcher: d}
+}
+
+// Admission is a request that was let in; its body may now be read.
+type Admission struct {
+	Route   *settings.CompiledRoute
+	Account string
+	// Begin is when the request came in.
+	Begin clock.Time
+}
+
+// Admit checks a request by its head alone. A refused request does not run.
+func (g *Gate) Admit(ctx context.Context, method, path, key string) (*Admission, *call.Failure) {
+	view := g.views.View()
+	if view == nil {
+		return nil, g.freshness.Fresh()
+	}
+	route, ok := view.Route(method, path, false)
+	if !ok {
+		return nil, call.Refuse(call.NoRoute, "no route for %s %s", method, path)
+	}
+	a := &Admission{Route: route, Begin: g.clock.Now()}
+	if route.Open {
+		return a, nil
+	}
+	if f := g.freshness.Fresh(); f != nil {
+		return nil, f
+	}
+	if a.Account, ok = view.Account(key); !ok {
+		return nil, call.Refuse(call.KeyUnknown, "the key is unknown or was withdrawn")
+	}
+	if f := g.shares.Take(ctx, view, a.Account); f != nil {
+		return nil, f
+	}
+	return a, nil
+}
+
+// Run sends an admitted request on its way, with timeout counted from its admission.
+func (g *Gate) Run(ctx context.Context, a *Admission, timeout time.Duration, r *call.Request) call.Result {
+	c := &call.Call{
+		ID:          call.NewID(),
+		Account:     a.Account,
+		Service:     a.Route.Service,
+		Route:       a.Route.Name,
+		Priority:    a.Route.Level,
+		Idempotent:  a.Route.Idempotent,
+		Deadline:    a.Begin.Add(timeout),
+		Allowance:   a.Route.Retries,
+		AnswerLimit: a.Route.AnswerLimitBytes,
+		Request:     r,
+	}
+	return g.dispatcher.Do(ctx, c)
+}
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,77 @@
+// Package metric holds the counters and histograms that a node exposes.
+package metric
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"comfreycart.dev/comfreycart/internal/call"
+)
+
+// Set is one node's metrics. All methods are safe for concurrent use.
+type Set struct {
+	set      *metrics.Set
+	refusals map[call.Reason]*metrics.Counter
+	retries  map[call.Reason]*metrics.Counter
+}
+
+// NewSet returns a set with a counter for every refusal and retry reason.
+func NewSet() *Set {
+	s := &Set{
+		set:      metrics.NewSet(),
+		refusals: map[call.Reason]*metrics.Counter{},
+		retries:  map[call.Reason]*metrics.Counter{},
+	}
+	for _, r := range call.Reasons {
+		s.refusals[r] = s.Counter("comfreycart_refusals_total", "reason", string(r))
+		s.retries[r] = s.Counter("comfreycart_retries_total", "reason", string(r))
+	}
+	return s
+}
+
+// Refused counts one refusal or failure given to a caller or backend server.
+func (s *Set) Refused(r call.Reason) { s.refusals[r].Inc() }
+
+// Retried counts one retry sent because of r.
+func (s *Set) Retried(r call.Reason) { s.retries[r].Inc() }
+
+// Counter returns the counter with the name and label pairs, creating it at need.
+func (s *Set) Counter(name string, labels ...string) *metrics.Counter {
+	return s.set.GetOrCreateCounter(fullName(name, labels))
+}
+
+// Gauge registers f as a gauge. The first registration of a name wins.
+func (s *Set) Gauge(name string, f func() float64, labels ...string) {
+	s.set.GetOrCreateGauge(fullName(name, labels), f)
+}
+
+// Histogram returns a histogram of seconds, creating it at need.
+func (s *Set) Histogram(name string, labels ...string) *metrics.Histogram {
+	return s.set.GetOrCreateHistogram(fullName(name, labels))
+}
+
+// Observe adds a duration to a histogram of seconds.
+func Observe(h *metrics.Histogram, d time.Duration) { h.Update(d.Seconds()) }
+
+// Write prints the metrics in the Prometheus text format.
+func (s *Set) Write(w io.Writer) {
+	s.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func fullName(name string, labels []string) string {
+	if len(labels) == 0 {
+		return name
+	}
+	full := name + "{"
+	for i := 0; i+1 < len(labels); i += 2 {
+		if i > 0 {
+			full += ","
+		}
+		full += fmt.Sprintf("%s=%q", labels[i], labels[i+1])
+	}
+	return full + "}"
+}
--- /dev/null
+++ b/internal/node/generate.go
@@ -0,0 +1,3 @@
+package node
+
+//go:generate go tool wire
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,157 @@
+// Package node puts a node together and runs it from start to planned stop.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/api"
+	"comfreycart.dev/comfreycart/internal/api/admin"
+	"comfreycart.dev/comfreycart/internal/api/backend"
+	"comfreycart.dev/comfreycart/internal/api/caller"
+	"comfreycart.dev/comfreycart/internal/api/egress"
+	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/peer"
+	"comfreycart.dev/comfreycart/internal/system/fence"
+	"comfreycart.dev/comfreycart/internal/system/membership"
+	"comfreycart.dev/comfreycart/internal/system/serve"
+	"comfreycart.dev/comfreycart/internal/system/settingsync"
+)
+
+const (
+	expiryInterval = 10 * time.Second
+	// leaveNotice is how long a leaving node still serves callers, so that they and
+	// the other nodes turn elsewhere first.
+	leaveNotice = 300 * time.Millisecond
+)
+
+// Node is one node. Its fields are provided by wire.
+type Node struct {
+	Config     *config.Node
+	Log        zerolog.Logger
+	Metric     *metric.Set
+	Caller     *caller.Handler
+	Backend    *backend.Handler
+	Egress     *egress.Handler
+	Admin      *admin.Handler
+	PeerServer *peer.Server
+	PeerClient *peer.Client
+	Follower   *settingsync.Follower
+	Membership *membership.Manager
+	Fences     *fence.Table
+	Server     *serve.Server
+
+	servers []*http.Server
+	wg      sync.WaitGroup
+}
+
+// Run serves until ctx ends, then makes a planned stop: it refuses new work,
+// finishes what runs, and returns nil. An error means that it could not start.
+func (n *Node) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer n.wg.Wait()
+	defer stop()
+	if err := n.start(background); err != nil {
+		return err
+	}
+	n.Log.Info().Msg("node started")
+	<-ctx.Done()
+	n.Log.Info().Msg("planned stop")
+	n.drain()
+	n.Log.Info().Msg("node stopped")
+	return nil
+}
+
+func (n *Node) start(ctx context.Context) error {
+	peerListener, err := net.Listen("tcp", n.Config.Listen.Peer)
+	if err != nil {
+		return trace.Wrap(err, "listening at /listen/peer")
+	}
+	n.spawn(func() { _ = n.PeerServer.Serve(ctx, peerListener) })
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.spawn(func() { n.Follower.Run(ctx) })
+	n.spawn(func() { n.Membership.Run(ctx) })
+	n.spawn(func() { n.expire(ctx) })
+	return nil
+}
+
+func (n *Node) listen() error {
+	l := n.Config.Listen
+	listeners := []struct {
+		path, address string
+		handler       http.Handler
+	}{
+		{"/listen/caller", l.Caller, n.Caller},
+		{"/listen/backend", l.Backend, n.Backend.Routes()},
+		{"/listen/egress", l.Egress, n.Egress},
+		{"/listen/admin", l.Admin, n.Admin.Routes()},
+		{"/listen/metrics", l.Metrics, n.metrics()},
+	}
+	for _, x := range listeners {
+		lis, err := net.Listen("tcp", x.address)
+		if err != nil {
+			return trace.Wrap(err, "listening at %s", x.path)
+		}
+		server := api.NewServer(x.handler)
+		n.servers = append(n.servers, server)
+		n.spawn(func() { n.serve(server, lis) })
+	}
+	return nil
+}
+
+func (n *Node) serve(s *http.Server, lis net.Listener) {
+	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		n.Log.Error().Err(err).Stringer("address", lis.Addr()).Msg("listener ended")
+	}
+}
+
+func (n *Node) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.Metric.Write(w) })
+	return mux
+}
+
+func (n *Node) expire(ctx context.Context) {
+	tick := time.NewTicker(expiryInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			n.Fences.Expire()
+		}
+	}
+}
+
+// drain is the planned stop, within the configured bound.
+func (n *Node) drain() {
+	ctx, cancel := context.WithTimeout(context.Background(), n.Config.Drain())
+	defer cancel()
+	n.Server.Drain()
+	n.Membership.Leave(ctx)
+	time.Sleep(leaveNotice)
+	n.Server.Idle(ctx)
+	for _, s := range n.servers {
+		_ = s.Shutdown(ctx)
+	}
+	_ = n.PeerClient.Close()
+}
+
+func (n *Node) spawn(f func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+}
--- /dev/null
+++ b/internal/node/provide.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/api/admin"
+	"comfreycart.dev/comfreycart/internal/api/backend"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/internal/entry"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/platform"
+	"comfreycart.dev/comfreycart/internal/system/dispatch"
+	"comfreycart.dev/comfreycart/internal/system/membership"
+	"comfreycart.dev/comfreycart/internal/system/serve"
+	"comfreycart.dev/comfreycart/internal/system/settingsync"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+func provideSelf(c *config.Node) dispatch.Self {
+	return dispatch.Self{ID: c.ID, Domain: c.Domain, Incarnation: uint64(time.Now().UnixNano())}
+}
+
+func provideStore(c *config.Node) platform.Store {
+	return platform.NewClient(c.Platform.URL, c.PlatformTimeout())
+}
+
+func provideFollower(c *config.Node, clk clock.Clock, s platform.Store, cur *settingsync.Current, log zerolog.Logger, m *metric.Set) *settingsync.Follower {
+	f := settingsync.NewFollower(c.Deployment, clk, s, cur, log)
+	m.Gauge("comfreycart_settings_staleness_seconds", func() float64 { return f.Staleness().Seconds() })
+	m.Gauge("comfreycart_settings_version", func() float64 {
+		if v := cur.View(); v != nil {
+			return float64(v.Version)
+		}
+		return 0
+	})
+	return f
+}
+
+func provideAcceptor(c *config.Node, s platform.Store) *settingsync.Acceptor {
+	return settingsync.NewAcceptor(c.Deployment, s)
+}
+
+func provideMembershipOptions(c *config.Node, self dispatch.Self) membership.Options {
+	return membership.Options{Self: self, Address: c.Listen.Peer, Deployment: c.Deployment, Contacts: c.Contacts}
+}
+
+func provideBackend(c *config.Node, clk clock.Clock, v entry.Views, l *table.Locals, s *serve.Server) *backend.Handler {
+	return backend.New(clk, v, l, s, "http://"+c.Listen.Egress)
+}
+
+func provideAdmin(c *config.Node, cur *settingsync.Current, a *settingsync.Acceptor, s admin.StatusSource, log zerolog.Logger) *admin.Handler {
+	return admin.New(c.AdminTokenSHA256, cur, a, s, log)
+}
+
+// status answers operators from the node's tables.
+type status struct {
+	self     dispatch.Self
+	current  *settingsync.Current
+	follower *settingsync.Follower
+	members  *table.Members
+}
+
+func provideStatus(self dispatch.Self, c *settingsync.Current, f *settingsync.Follower, m *table.Members) *status {
+	return &status{self, c, f, m}
+}
+
+// Status implements admin.StatusSource.
+func (s *status) Status(context.Context) admin.Status {
+	out := admin.Status{Node: s.self.ID, StalenessMs: s.follower.Staleness().Milliseconds()}
+	if v := s.current.View(); v != nil {
+		out.SettingsVersion = v.Version
+	}
+	for _, m := range s.members.All() {
+		row := admin.Member{ID: m.ID, Domain: m.Domain, Address: m.Address, State: string(m.State), Endpoints: []admin.Endpoint{}}
+		for _, e := range m.Endpoints {
+			row.Endpoints = append(row.Endpoints, admin.Endpoint{Service: e.Service, Slots: e.Slots, State: string(e.State)})
+		}
+		out.Members = append(out.Members, row)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/wire.go
@@ -0,0 +1,54 @@
+//go:build wireinject
+
+package node
+
+import (
+	"github.com/google/wire"
+	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/api/admin"
+	"comfreycart.dev/comfreycart/internal/api/caller"
+	"comfreycart.dev/comfreycart/internal/api/egress"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/internal/entry"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/peer"
+	"comfreycart.dev/comfreycart/internal/system/claims"
+	"comfreycart.dev/comfreycart/internal/system/dispatch"
+	"comfreycart.dev/comfreycart/internal/system/fence"
+	"comfreycart.dev/comfreycart/internal/system/membership"
+	"comfreycart.dev/comfreycart/internal/system/serve"
+	"comfreycart.dev/comfreycart/internal/system/settingsync"
+	"comfreycart.dev/comfreycart/internal/system/shares"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+// New puts a node together; Run starts it.
+func New(c *config.Node, log zerolog.Logger) *Node {
+	wire.Build(
+		wire.Struct(new(Node), "Config", "Log", "Metric", "Caller", "Backend", "Egress", "Admin",
+			"PeerServer", "PeerClient", "Follower", "Membership", "Fences", "Server"),
+		provideSelf, provideStore, provideFollower, provideAcceptor, provideMembershipOptions,
+		provideBackend, provideAdmin, provideStatus,
+		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
+		wire.Struct(new(settingsync.Current)),
+		metric.NewSet,
+		table.NewCalls, table.NewLocals, table.NewMembers, table.NewEndpoints,
+		fence.New, serve.New, dispatch.New, membership.New, shares.New, claims.New,
+		entry.New, caller.New, egress.New,
+		peer.NewClient, peer.NewServer,
+		wire.Bind(new(admin.StatusSource), new(*status)),
+		wire.Bind(new(entry.Views), new(*settingsync.Current)),
+		wire.Bind(new(entry.Freshness), new(*settingsync.Follower)),
+		wire.Bind(new(entry.Shares), new(*shares.Manager)),
+		wire.Bind(new(entry.Dispatcher), new(*dispatch.Dispatcher)),
+		wire.Bind(new(dispatch.Peers), new(*peer.Client)),
+		wire.Bind(new(dispatch.Local), new(*serve.Server)),
+		wire.Bind(new(peer.Syncer), new(*membership.Manager)),
+		wire.Bind(new(peer.ObjectSource), new(*settingsync.Follower)),
+		wire.Bind(new(peer.ShareHome), new(*shares.Manager)),
+		wire.Bind(new(peer.ClaimHome), new(*claims.Manager)),
+	)
+	return nil
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,142 @@
+// Package operator is a client of the admin API.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"comfreycart.dev/comfreycart/internal/api/admin"
+	"comfreycart.dev/comfreycart/internal/api/problem"
+	"comfreycart.dev/comfreycart/internal/settings"
+)
+
+const timeout = 30 * time.Second
+
+// Refused is an answer of the admin API that is not a success.
+type Refused struct {
+	problem.Document
+}
+
+// Error implements error.
+func (r *Refused) Error() string {
+	if r.Path != "" {
+		return fmt.Sprintf("%s: %s: %s", r.Reason, r.Path, r.Detail)
+	}
+	return fmt.Sprintf("%s: %s", r.Reason, r.Detail)
+}
+
+// Client calls one node's admin API. It is safe for concurrent use.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// New returns a client of the admin listener at base.
+func New(base, token string) *Client {
+	return &Client{base: base, token: token, http: &http.Client{Timeout: timeout}}
+}
+
+// Change says under which conditions a change is to be made; both parts are optional.
+type Change struct {
+	// ID makes resubmissions one change.
+	ID string
+	// Match is the ETag of what the operator saw.
+	Match string
+}
+
+// Tree returns all settings and their ETag.
+func (c *Client) Tree(ctx context.Context) (*settings.Tree, string, error) {
+	var t settings.Tree
+	tag, err := c.do(ctx, http.MethodGet, "/admin/v1/settings", Change{}, nil, &t)
+	return &t, tag, err
+}
+
+// PutTree replaces all settings.
+func (c *Client) PutTree(ctx context.Context, t *settings.Tree, ch Change) (admin.Accepted, error) {
+	var a admin.Accepted
+	_, err := c.do(ctx, http.MethodPut, "/admin/v1/settings", ch, t, &a)
+	return a, err
+}
+
+// Team returns one team's subtree and its ETag.
+func (c *Client) Team(ctx context.Context, team string) (settings.Team, string, error) {
+	var t settings.Team
+	tag, err := c.do(ctx, http.MethodGet, "/admin/v1/settings/"+url.PathEscape(team), Change{}, nil, &t)
+	return t, tag, err
+}
+
+// PutTeam replaces one team's subtree.
+func (c *Client) PutTeam(ctx context.Context, team string, t settings.Team, ch Change) (admin.Accepted, error) {
+	var a admin.Accepted
+	_, err := c.do(ctx, http.MethodPut, "/admin/v1/settings/"+url.PathEscape(team), ch, t, &a)
+	return a, err
+}
+
+// Grant makes a new key for an account.
+func (c *Client) Grant(ctx context.Context, team, account, note string, ch Change) (admin.Accepted, error) {
+	var a admin.Accepted
+	path := "/admin/v1/keys/" + url.PathEscape(team) + "/" + url.PathEscape(account) + "?note=" + url.QueryEscape(note)
+	_, err := c.do(ctx, http.MethodPost, path, ch, nil, &a)
+	return a, err
+}
+
+// Withdraw ends a key.
+func (c *Client) Withdraw(ctx context.Context, team, account, id string, ch Change) (admin.Accepted, error) {
+	var a admin.Accepted
+	path := "/admin/v1/keys/" + url.PathEscape(team) + "/" + url.PathEscape(account) + "/" + url.PathEscape(id)
+	_, err := c.do(ctx, http.MethodDelete, path, ch, nil, &a)
+	return a, err
+}
+
+// Status returns the node's view of the fleet.
+func (c *Client) Status(ctx context.Context) (admin.Status, error) {
+	var s admin.Status
+	_, err := c.do(ctx, http.MethodGet, "/admin/v1/status", Change{}, nil, &s)
+	return s, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, ch Change, in, out any) (etag string, err error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return "", err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	if ch.ID != "" {
+		req.Header.Set("Change-Id", ch.ID)
+	}
+	if ch.Match != "" {
+		req.Header.Set("If-Match", ch.Match)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return "", refusal(resp)
+	}
+	return resp.Header.Get("ETag"), json.NewDecoder(resp.Body).Decode(out)
+}
+
+func refusal(resp *http.Response) error {
+	var d problem.Document
+	if err := json.NewDecoder(resp.Body).Decode(&d); err != nil {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return &Refused{d}
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,113 @@
+// Package peer carries messages between nodes over drpc.
+//
+// A drpc connection runs one stream at a time, so the client keeps a bounded pool
+// of idle connections to each peer and dials when it is empty.
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+const (
+	dialTimeout = time.Second
+	// idlePerPeer and idleInAll bound the connections kept without a call.
+	idlePerPeer = 64
+	idleInAll   = 4096
+	idleExpiry  = time.Minute
+)
+
+// Client sends messages to other nodes. It is safe for concurrent use.
+type Client struct {
+	clock clock.Clock
+	pool  *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewClient returns a client without connections.
+func NewClient(c clock.Clock) *Client {
+	return &Client{clock: c, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		Expiration:  idleExpiry,
+		Capacity:    idleInAll,
+		KeyCapacity: idlePerPeer,
+	})}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() error { return c.pool.Close() }
+
+// To returns a stub for the peer at address.
+func (c *Client) To(ctx context.Context, address string) peerpb.DRPCPeerClient {
+	return peerpb.NewDRPCPeerClient(c.pool.Get(ctx, address, dial))
+}
+
+// Call runs a call beside e. A failure PeerUnreachable means that nothing was sent;
+// PeerLost that the call may run.
+func (c *Client) Call(ctx context.Context, e *table.Endpoint, cl *call.Call) call.Result {
+	conn := &sentConn{Conn: c.pool.Get(ctx, e.Address, dial), pool: c.pool, key: e.Address}
+	reply, err := peerpb.NewDRPCPeerClient(conn).Call(ctx, callToProto(cl, c.clock.Now(), e.Incarnation))
+	if err != nil && !conn.sent {
+		return call.Fail(call.Refuse(call.PeerUnreachable, "node %s cannot be reached", e.Node), cl.Allowance)
+	}
+	if err != nil {
+		return call.Result{Failure: call.Lose(call.PeerLost, "the answer of node %s was lost", e.Node)}
+	}
+	r, ok := resultFromProto(cl.ID, reply, cl.Allowance)
+	if !ok {
+		return call.Result{Failure: call.Lose(call.PeerLost, "node %s gave another answer", e.Node)}
+	}
+	return r
+}
+
+// Fence reports whether a call had not started at e's node and now never will.
+func (c *Client) Fence(ctx context.Context, e *table.Endpoint, id call.ID) bool {
+	reply, err := c.To(ctx, e.Address).Fence(ctx, &peerpb.FenceRequest{Id: id[:], Incarnation: e.Incarnation})
+	return err == nil && reply.NotStarted
+}
+
+// sentConn is a pooled connection for one call that notes whether anything may
+// have been sent.
+type sentConn struct {
+	drpc.Conn
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+	key  string
+	sent bool
+}
+
+// Invoke implements drpc.Conn.
+func (s *sentConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	conn, ok := s.pool.Take(s.key)
+	if !ok {
+		var err error
+		if conn, err = dial(ctx, s.key); err != nil {
+			return err
+		}
+	}
+	s.sent = true
+	defer s.pool.Put(s.key, conn)
+	return conn.Invoke(ctx, rpc, enc, in, out)
+}
+
+func dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// managerOptions keeps a connection open when a call on it is cancelled.
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{SoftCancel: true}
+}
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,186 @@
+package peer
+
+import (
+	"net/http"
+	"time"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+func callToProto(c *call.Call, now clock.Time, incarnation uint64) *peerpb.CallRequest {
+	return &peerpb.CallRequest{
+		Id:               c.ID[:],
+		Account:          c.Account,
+		Service:          c.Service,
+		Route:            c.Route,
+		Priority:         uint32(c.Priority),
+		Idempotent:       c.Idempotent,
+		TimeoutUs:        c.Deadline.Sub(now).Microseconds(),
+		Allowance:        int32(c.Allowance),
+		Depth:            int32(c.Depth),
+		SpentUs:          c.Spent.Microseconds(),
+		AnswerLimitBytes: c.AnswerLimit,
+		Incarnation:      incarnation,
+		Request: &peerpb.Request{
+			Method:   c.Request.Method,
+			Path:     c.Request.Path,
+			RawQuery: c.Request.RawQuery,
+			Headers:  headersToProto(c.Request.Header),
+			Body:     c.Request.Body,
+		},
+	}
+}
+
+// callFromProto returns nil if the message lacks a part.
+func callFromProto(p *peerpb.CallRequest, now clock.Time) *call.Call {
+	if len(p.Id) != len(call.ID{}) || p.Request == nil || p.Priority >= uint32(call.Priorities) {
+		return nil
+	}
+	return &call.Call{
+		ID:          call.ID(p.Id),
+		Account:     p.Account,
+		Service:     p.Service,
+		Route:       p.Route,
+		Priority:    call.Priority(p.Priority),
+		Idempotent:  p.Idempotent,
+		Deadline:    now.Add(time.Duration(p.TimeoutUs) * time.Microsecond),
+		Allowance:   int(p.Allowance),
+		Depth:       int(p.Depth),
+		Spent:       time.Duration(p.SpentUs) * time.Microsecond,
+		AnswerLimit: p.AnswerLimitBytes,
+		Request: &call.Request{
+			Method:   p.Request.Method,
+			Path:     p.Request.Path,
+			RawQuery: p.Request.RawQuery,
+			Header:   headersFromProto(p.Request.Headers),
+			Body:     p.Request.Body,
+		},
+	}
+}
+
+func resultToProto(id call.ID, r call.Result) *peerpb.CallReply {
+	reply := &peerpb.CallReply{Id: id[:], Unused: int32(r.Unused), Overloaded: r.Overloaded}
+	if r.Answer != nil {
+		reply.Answer = &peerpb.Answer{
+			Status:  int32(r.Answer.Status),
+			Headers: headersToProto(r.Answer.Header),
+			Body:    r.Answer.Body,
+		}
+	}
+	if f := r.Failure; f != nil {
+		reply.Failure = &peerpb.Failure{
+			Reason:       string(f.Reason),
+			Outcome:      string(f.Outcome),
+			Detail:       f.Detail,
+			RetryAfterMs: f.RetryAfter.Milliseconds(),
+		}
+	}
+	if f := r.Feedback; f != nil {
+		reply.Feedback = &peerpb.Feedback{
+			Threshold:  uint32(f.Threshold),
+			ShareMilli: f.ShareMilli,
+			InFlight:   f.InFlight,
+			Limit:      f.Limit,
+			Queued:     f.Queued,
+		}
+	}
+	return reply
+}
+
+// resultFromProto returns false if the reply is not a whole one to the call.
+func resultFromProto(id call.ID, p *peerpb.CallReply, allowance int) (call.Result, bool) {
+	if call.ID(pad(p.Id)) != id || (p.Answer == nil) == (p.Failure == nil) {
+		return call.Result{}, false
+	}
+	r := call.Result{Unused: min(max(int(p.Unused), 0), allowance), Overloaded: p.Overloaded}
+	if a := p.Answer; a != nil {
+		r.Answer = &call.Answer{Status: int(a.Status), Header: headersFromProto(a.Headers), Body: a.Body}
+	}
+	if f := p.Failure; f != nil {
+		r.Failure = &call.Failure{
+			Reason:     call.Reason(f.Reason),
+			Outcome:    call.Outcome(f.Outcome),
+			Detail:     f.Detail,
+			RetryAfter: time.Duration(f.RetryAfterMs) * time.Millisecond,
+		}
+	}
+	if f := p.Feedback; f != nil {
+		r.Feedback = &call.Feedback{
+			Threshold:  call.Priority(f.Threshold),
+			ShareMilli: f.ShareMilli,
+			InFlight:   f.InFlight,
+			Limit:      f.Limit,
+			Queued:     f.Queued,
+		}
+	}
+	return r, true
+}
+
+// pad makes a malformed ID comparable; it then equals no real one.
+func pad(id []byte) []byte {
+	if len(id) == len(call.ID{}) {
+		return id
+	}
+	return make([]byte, len(call.ID{}))
+}
+
+func headersToProto(h http.Header) []*peerpb.Header {
+	out := make([]*peerpb.Header, 0, len(h))
+	for name, values := range h {
+		out = append(out, &peerpb.Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func headersFromProto(hs []*peerpb.Header) http.Header {
+	h := make(http.Header, len(hs))
+	for _, x := range hs {
+		h[x.Name] = x.Values
+	}
+	return h
+}
+
+// MemberToProto turns a member's record into its message.
+func MemberToProto(m table.Member) *peerpb.Member {
+	p := &peerpb.Member{
+		Id:          m.ID,
+		Incarnation: m.Incarnation,
+		Sequence:    m.Sequence,
+		Address:     m.Address,
+		Domain:      m.Domain,
+		State:       string(m.State),
+	}
+	for _, e := range m.Endpoints {
+		p.Endpoints = append(p.Endpoints, &peerpb.Endpoint{
+			Service:     e.Service,
+			Slots:       uint32(e.Slots),
+			Connections: uint32(e.Connections),
+			State:       string(e.State),
+		})
+	}
+	return p
+}
+
+// MemberFromProto turns a message into a member's record.
+func MemberFromProto(p *peerpb.Member) table.Member {
+	m := table.Member{
+		ID:          p.GetId(),
+		Incarnation: p.GetIncarnation(),
+		Sequence:    p.GetSequence(),
+		Address:     p.GetAddress(),
+		Domain:      p.GetDomain(),
+		State:       table.MemberState(p.GetState()),
+	}
+	for _, e := range p.GetEndpoints() {
+		m.Endpoints = append(m.Endpoints, table.MemberEndpoint{
+			Service:     e.Service,
+			Slots:       int(e.Slots),
+			Connections: int(e.Connections),
+			State:       table.EndpointState(e.State),
+		})
+	}
+	return m
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,127 @@
+package peer
+
+import (
+	"context"
+	"net"
+
+	"github.com/rs/zerolog"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+	"comfreycart.dev/comfreycart/internal/system/dispatch"
+	"comfreycart.dev/comfreycart/internal/system/fence"
+)
+
+// Syncer exchanges views of members and settings.
+type Syncer interface {
+	// HandleSync answers another node's exchange.
+	HandleSync(ctx context.Context, req *peerpb.SyncRequest) (*peerpb.SyncReply, error)
+	// HandleProbe reaches a third node for another one.
+	HandleProbe(ctx context.Context, req *peerpb.ProbeRequest) (*peerpb.ProbeReply, error)
+}
+
+// ObjectSource has settings objects for other nodes.
+type ObjectSource interface {
+	HandleObjects(ctx context.Context, req *peerpb.ObjectsRequest) (*peerpb.ObjectsReply, error)
+}
+
+// ShareHome hands out tokens of the accounts whose home this node is.
+type ShareHome interface {
+	HandleDraw(ctx context.Context, req *peerpb.DrawRequest) (*peerpb.DrawReply, error)
+}
+
+// ClaimHome records the non-idempotent requests whose home this node is.
+type ClaimHome interface {
+	HandleClaim(ctx context.Context, req *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
+	HandleSettle(ctx context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error)
+}
+
+// Server answers other nodes.
+type Server struct {
+	self    dispatch.Self
+	clock   clock.Clock
+	log     zerolog.Logger
+	local   dispatch.Local
+	fences  *fence.Table
+	syncer  Syncer
+	objects ObjectSource
+	shares  ShareHome
+	claims  ClaimHome
+}
+
+// NewServer returns a server that hands each message to the system it is for.
+func NewServer(self dispatch.Self, c clock.Clock, log zerolog.Logger, local dispatch.Local, fences *fence.Table,
+	syncer Syncer, objects ObjectSource, shares ShareHome, claims ClaimHome) *Server {
+	return &Server{
+		self: self, clock: c, log: log, local: local, fences: fences,
+		syncer: syncer, objects: objects, shares: shares, claims: claims,
+	}
+}
+
+// Serve answers on lis until ctx ends.
+func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, s); err != nil {
+		return err
+	}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: managerOptions(),
+		Log:     func(err error) { s.log.Debug().Err(err).Msg("peer connection") },
+	})
+	return server.Serve(ctx, lis)
+}
+
+// Call implements the Peer service.
+func (s *Server) Call(ctx context.Context, req *peerpb.CallRequest) (*peerpb.CallReply, error) {
+	c := callFromProto(req, s.clock.Now())
+	if c == nil {
+		f := call.Refuse(call.BadRequest, "malformed call from a peer")
+		return resultToProto(call.ID(pad(req.Id)), call.Fail(f, int(req.Allowance))), nil
+	}
+	if req.Incarnation != s.self.Incarnation {
+		f := call.Refuse(call.NoEndpoint, "the node has restarted")
+		return resultToProto(c.ID, call.Fail(f, c.Allowance)), nil
+	}
+	return resultToProto(c.ID, s.local.Handle(ctx, c)), nil
+}
+
+// Fence implements the Peer service.
+func (s *Server) Fence(_ context.Context, req *peerpb.FenceRequest) (*peerpb.FenceReply, error) {
+	if len(req.Id) != len(call.ID{}) || req.Incarnation != s.self.Incarnation {
+		return &peerpb.FenceReply{}, nil
+	}
+	return &peerpb.FenceReply{NotStarted: s.fences.Fence(call.ID(req.Id))}, nil
+}
+
+// Sync implements the Peer service.
+func (s *Server) Sync(ctx context.Context, req *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	return s.syncer.HandleSync(ctx, req)
+}
+
+// Probe implements the Peer service.
+func (s *Server) Probe(ctx context.Context, req *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	return s.syncer.HandleProbe(ctx, req)
+}
+
+// Objects implements the Peer service.
+func (s *Server) Objects(ctx context.Context, req *peerpb.ObjectsRequest) (*peerpb.ObjectsReply, error) {
+	return s.objects.HandleObjects(ctx, req)
+}
+
+// Draw implements the Peer service.
+func (s *Server) Draw(ctx context.Context, req *peerpb.DrawRequest) (*peerpb.DrawReply, error) {
+	return s.shares.HandleDraw(ctx, req)
+}
+
+// Claim implements the Peer service.
+func (s *Server) Claim(ctx context.Context, req *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return s.claims.HandleClaim(ctx, req)
+}
+
+// Settle implements the Peer service.
+func (s *Server) Settle(ctx context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	return s.claims.HandleSettle(ctx, req)
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,101 @@
+// Package platform is the node's view of the platform's transactional table
+// service and object store.
+//
+// Every call may be slow, fail, or take effect while its answer is lost; the
+// kind of an Error tells these apart as far as they can be told.
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+)
+
+// Row is one table row. Version grows with each write, also over a deletion, and is never 0.
+type Row struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+}
+
+// Condition demands that a row has exactly a version; 0 means that it does not exist.
+type Condition struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// Write sets or deletes one row.
+type Write struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+}
+
+// Tx is applied whole if all its conditions hold, and not at all otherwise.
+type Tx struct {
+	Conditions []Condition `json:"conditions"`
+	Writes     []Write     `json:"writes"`
+}
+
+// Table is the transactional table service.
+type Table interface {
+	// Get returns a row, or an Error of kind NotFound.
+	Get(ctx context.Context, key string) (Row, error)
+	// Scan returns all rows whose key begins with prefix, in key order.
+	Scan(ctx context.Context, prefix string) ([]Row, error)
+	// Transact applies tx. An Error of kind Conflict means that it was not
+	// applied; one of kind Unavailable that it may have been.
+	Transact(ctx context.Context, tx Tx) error
+}
+
+// Objects is the object store. Objects are immutable once put.
+type Objects interface {
+	PutObject(ctx context.Context, name string, data []byte) error
+	// GetObject returns an object, or an Error of kind NotFound.
+	GetObject(ctx context.Context, name string) ([]byte, error)
+}
+
+// Store is the whole platform service. It is safe for concurrent use.
+type Store interface {
+	Table
+	Objects
+}
+
+// Kind classes an Error.
+type Kind int
+
+// The kinds of platform errors.
+const (
+	// Unavailable: no answer, or one that does not say; a write may have taken effect.
+	Unavailable Kind = iota
+	// NotFound: the row or object does not exist.
+	NotFound
+	// Conflict: a condition did not hold; nothing was written.
+	Conflict
+)
+
+var kindNames = [...]string{"unavailable", "not found", "conflict"}
+
+// Error is the only error type that a Store returns.
+type Error struct {
+	Kind Kind
+	Op   string
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("platform: %s: %s", e.Op, kindNames[e.Kind])
+	}
+	return fmt.Sprintf("platform: %s: %s: %v", e.Op, kindNames[e.Kind], e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// IsKind reports whether err is a platform Error of the kind.
+func IsKind(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
--- /dev/null
+++ b/internal/system/serve/serve.go
@@ -0,0 +1,150 @@
+// Package serve runs calls at the backend servers of this VM. It is the one place
+// that knows whether a call has started.
+package serve
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/system/fence"
+	"comfreycart.dev/comfreycart/internal/system/gate"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+// Server runs calls at local backend servers. It is safe for concurrent use.
+type Server struct {
+	clock  clock.Clock
+	calls  *table.Calls
+	locals *table.Locals
+	fences *fence.Table
+	metric *metric.Set
+
+	mu       sync.Mutex
+	stations map[string]*station
+	draining bool
+}
+
+// station is what the server keeps for one local backend server.
+type station struct {
+	gate *gate.Gate
+	pool *pool
+}
+
+// New returns a server of the backend servers in locals.
+func New(c clock.Clock, calls *table.Calls, locals *table.Locals, fences *fence.Table, m *metric.Set) *Server {
+	return &Server{
+		clock: c, calls: calls, locals: locals, fences: fences, metric: m,
+		stations: map[string]*station{},
+	}
+}
+
+// Drain makes the server refuse all new calls.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// Handle runs a call at the local backend server of its service. The call's
+// Deadline must be on this node's clock.
+func (s *Server) Handle(ctx context.Context, c *call.Call) call.Result {
+	if !s.fences.Arrive(c.ID) {
+		return call.Fail(call.Refuse(call.Fenced, "the call was fenced or seen before"), c.Allowance)
+	}
+	local, st, f := s.station(c.Service)
+	if f != nil {
+		s.fences.Fence(c.ID)
+		return call.Fail(f, c.Allowance)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Deadline.Sub(s.clock.Now()))
+	defer cancel()
+	release, f := st.gate.Acquire(ctx, c)
+	if f != nil {
+		s.fences.Fence(c.ID)
+		return s.refused(st, c, f)
+	}
+	defer release()
+	if ctx.Err() != nil {
+		s.fences.Fence(c.ID)
+		return s.refused(st, c, call.Refuse(call.QueueTimeout, "deadline passed while queued"))
+	}
+	if !s.fences.Start(c.ID) {
+		return s.refused(st, c, call.Refuse(call.Fenced, "the call was fenced while it was queued"))
+	}
+	return s.run(ctx, st, local, c)
+}
+
+func (s *Server) refused(st *station, c *call.Call, f *call.Failure) call.Result {
+	r := call.Fail(f, c.Allowance)
+	r.Feedback = st.gate.Feedback()
+	return r
+}
+
+// station returns the local backend server of a service if it takes calls.
+func (s *Server) station(service string) (table.Local, *station, *call.Failure) {
+	local, ok := s.locals.Get(service)
+	if !ok {
+		return local, nil, call.Refuse(call.NoEndpoint, "service %s is not on this VM", service)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || local.State == table.Draining {
+		return local, nil, call.Refuse(call.Draining, "the endpoint is leaving")
+	}
+	st := s.stations[service]
+	if st == nil || st.pool.address != local.Address {
+		st = &station{gate: gate.New(s.clock, local.Slots), pool: newPool(local.Address)}
+		s.stations[service] = st
+	}
+	return local, st, nil
+}
+
+// run sends a started call to its backend server.
+func (s *Server) run(ctx context.Context, st *station, local table.Local, c *call.Call) call.Result {
+	handle, running := s.calls.Open(ctx, c)
+	defer s.calls.Close(handle)
+	begin := s.clock.Now()
+	answer, f := exchange(ctx, st.pool, s.clock, c, handle)
+	metric.Observe(s.metric.Histogram("comfreycart_backend_seconds", "service", local.Service), s.clock.Now().Sub(begin))
+	left, overloaded := running.End()
+	r := call.Result{Answer: answer, Failure: f, Unused: left, Overloaded: overloaded}
+	if f != nil && f.Overload() {
+		r.Overloaded = true
+	}
+	r.Feedback = st.gate.Feedback()
+	return r
+}
+
+// Gauges registers the gauges of a service's gate.
+func (s *Server) Gauges(service string) {
+	load := func(pick func(*call.Feedback) uint32) func() float64 {
+		return func() float64 {
+			s.mu.Lock()
+			st := s.stations[service]
+			s.mu.Unlock()
+			if st == nil {
+				return 0
+			}
+			return float64(pick(st.gate.Feedback()))
+		}
+	}
+	s.metric.Gauge("comfreycart_limit_calls", load(func(f *call.Feedback) uint32 { return f.Limit }), "service", service)
+	s.metric.Gauge("comfreycart_running_calls", load(func(f *call.Feedback) uint32 { return f.InFlight }), "service", service)
+	s.metric.Gauge("comfreycart_queued_calls", load(func(f *call.Feedback) uint32 { return f.Queued }), "service", service)
+}
+
+// Idle waits until no call runs or ctx ends.
+func (s *Server) Idle(ctx context.Context) {
+	const look = 10 * time.Millisecond
+	for s.calls.Len() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(look):
+		}
+	}
+}
--- /dev/null
+++ b/internal/table/calls.go
@@ -0,0 +1,127 @@
+// Package table holds a node's entities in tables: members, endpoints, running
+// calls. Systems read and change them; the tables themselves decide nothing.
+package table
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"sync"
+
+	"comfreycart.dev/comfreycart/internal/call"
+)
+
+const (
+	callShards  = 32
+	handleBytes = 18
+)
+
+// Running is a call that a local backend server is working on.
+type Running struct {
+	Call *call.Call
+	// Ctx ends with the call; its sub-calls end with it.
+	Ctx context.Context
+
+	mu         sync.Mutex
+	left       int
+	overloaded bool
+}
+
+// TakeAllowance takes part of the retries left, for one sub-call.
+func (r *Running) TakeAllowance() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	take := (r.left + 1) / 2
+	r.left -= take
+	return take
+}
+
+// ReturnAllowance gives back retries that a sub-call did not use.
+func (r *Running) ReturnAllowance(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left += n
+}
+
+// MarkOverloaded records that a sub-call was refused for overload.
+func (r *Running) MarkOverloaded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.overloaded = true
+}
+
+// End returns the retries left and whether a sub-call was refused for overload.
+func (r *Running) End() (left int, overloaded bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left, r.left = r.left, 0
+	return left, r.overloaded
+}
+
+// Calls maps the handles given to local backend servers to their running calls.
+// It is safe for concurrent use.
+type Calls struct {
+	shards [callShards]callShard
+}
+
+type callShard struct {
+	mu   sync.Mutex
+	rows map[string]*Running
+}
+
+// NewCalls returns an empty table.
+func NewCalls() *Calls {
+	c := &Calls{}
+	for i := range c.shards {
+		c.shards[i].rows = map[string]*Running{}
+	}
+	return c
+}
+
+// Open adds a call and returns its handle, which cannot be guessed.
+func (c *Calls) Open(ctx context.Context, cl *call.Call) (string, *Running) {
+	raw := make([]byte, handleBytes)
+	_, _ = rand.Read(raw)
+	handle := base64.RawURLEncoding.EncodeToString(raw)
+	r := &Running{Call: cl, Ctx: ctx, left: cl.Allowance}
+	s := c.shard(handle)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows[handle] = r
+	return handle, r
+}
+
+// Get returns the running call of a handle, or nil.
+func (c *Calls) Get(handle string) *Running {
+	s := c.shard(handle)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[handle]
+}
+
+// Close ends a handle.
+func (c *Calls) Close(handle string) {
+	s := c.shard(handle)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.rows, handle)
+}
+
+// Len returns the number of running calls.
+func (c *Calls) Len() int {
+	n := 0
+	for i := range c.shards {
+		s := &c.shards[i]
+		s.mu.Lock()
+		n += len(s.rows)
+		s.mu.Unlock()
+	}
+	return n
+}
+
+func (c *Calls) shard(handle string) *callShard {
+	if handle == "" {
+		return &c.shards[0]
+	}
+	return &c.shards[handle[0]%callShards]
+}
--- /dev/null
+++ b/internal/table/members.go
@@ -0,0 +1,150 @@
+package table
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"comfreycart.dev/comfreycart/internal/clock"
+)
+
+// MemberState is what is believed of a node.
+type MemberState string
+
+// The states of a member. In one incarnation and sequence a later one in this
+// list replaces an earlier one.
+const (
+	Alive   MemberState = "alive"
+	Suspect MemberState = "suspect"
+	Dead    MemberState = "dead"
+	Left    MemberState = "left"
+)
+
+var stateRank = map[MemberState]int{Alive: 0, Suspect: 1, Dead: 2, Left: 3}
+
+// EndpointState is what a backend server says of itself.
+type EndpointState string
+
+// The states of an endpoint.
+const (
+	Ready    EndpointState = "ready"
+	Warming  EndpointState = "warming"
+	Draining EndpointState = "draining"
+)
+
+// MemberEndpoint is a backend server as its node tells others about it.
+type MemberEndpoint struct {
+	Service     string
+	Slots       int
+	Connections int
+	State       EndpointState
+}
+
+// Member is one node of the fleet.
+type Member struct {
+	ID string
+	// Incarnation is chosen at each start; a higher one replaces a lower one.
+	Incarnation uint64
+	// Sequence grows with each change that the member makes to its own record.
+	Sequence  uint64
+	Address   string
+	Domain    string
+	State     MemberState
+	Endpoints []MemberEndpoint
+	// Changed is when this node last changed the record.
+	Changed clock.Time
+}
+
+// Newer reports whether m replaces old.
+func (m *Member) Newer(old *Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation > old.Incarnation
+	}
+	if m.Sequence != old.Sequence {
+		return m.Sequence > old.Sequence
+	}
+	return stateRank[m.State] > stateRank[old.State]
+}
+
+// Members is the table of known nodes, this one included. It is safe for
+// concurrent use.
+type Members struct {
+	clock clock.Clock
+
+	mu   sync.RWMutex
+	rows map[string]*Member
+
+	endpoints *Endpoints
+	changes   atomic.Uint64
+}
+
+// NewMembers returns an empty table that keeps endpoints up to date.
+func NewMembers(c clock.Clock, endpoints *Endpoints) *Members {
+	return &Members{clock: c, rows: map[string]*Member{}, endpoints: endpoints}
+}
+
+// Merge takes in a record and reports whether it replaced what was known.
+func (t *Members) Merge(m Member) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.rows[m.ID]
+	if old != nil && !m.Newer(old) {
+		return false
+	}
+	m.Changed = t.clock.Now()
+	t.rows[m.ID] = &m
+	t.changes.Add(1)
+	t.endpoints.update(old, &m)
+	return true
+}
+
+// Get returns a copy of a member's record.
+func (t *Members) Get(id string) (Member, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	m := t.rows[id]
+	if m == nil {
+		return Member{}, false
+	}
+	return *m, true
+}
+
+// All returns copies of all records, ordered by ID.
+func (t *Members) All() []Member {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	all := make([]Member, 0, len(t.rows))
+	for _, m := range t.rows {
+		all = append(all, *m)
+	}
+	slices.SortFunc(all, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Remove forgets a member.
+func (t *Members) Remove(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.rows[id]
+	if old == nil {
+		return
+	}
+	delete(t.rows, id)
+	t.changes.Add(1)
+	t.endpoints.update(old, nil)
+}
+
+// Len returns the number of known members.
+func (t *Members) Len() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.rows)
+}
+
+// Changes counts changes of the table; equal counts mean an unchanged table.
+func (t *Members) Changes() uint64 { return t.changes.Load() }
--- /dev/null
+++ b/test/standin/backend/backend.go
@@ -0,0 +1,285 @@
+// Package backend is a stand-in for a backend server: it announces itself to its
+// node, runs calls in a number of slots, makes sub-calls, keeps a journal of what
+// it ran, and misbehaves as POST /control says.
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	api "comfreycart.dev/comfreycart/internal/api/backend"
+)
+
+// Behavior is what the stand-in does with a call.
+type Behavior struct {
+	// DelayMs is the time a call holds its slot, in milliseconds.
+	DelayMs int `json:"delayMs"`
+	// Status of the answers; 0 means 200.
+	Status int `json:"status"`
+	// AnswerBytes pads the answer to so many bytes.
+	AnswerBytes int `json:"answerBytes"`
+	// Truncate closes the connection in the middle of the answer.
+	Truncate bool `json:"truncate"`
+	// Hang never answers.
+	Hang bool `json:"hang"`
+	// State is what the stand-in announces; empty means ready.
+	State string `json:"state"`
+	// Silent stops the announcements.
+	Silent bool `json:"silent"`
+	// Subs are the sub-calls of each call, made one after the other.
+	Subs []Sub `json:"subs"`
+	// Parallel makes the sub-calls at the same time.
+	Parallel bool `json:"parallel"`
+	// PassFailure answers 502 when a sub-call fails.
+	PassFailure bool `json:"passFailure"`
+}
+
+// Sub is one sub-call.
+type Sub struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+}
+
+// Entry is one call in the journal.
+type Entry struct {
+	Method         string      `json:"method"`
+	Path           string      `json:"path"`
+	Account        string      `json:"account"`
+	Call           string      `json:"call"`
+	IdempotencyKey string      `json:"idempotencyKey,omitempty"`
+	Header         http.Header `json:"header"`
+	Trailer        http.Header `json:"trailer,omitempty"`
+	// AtMs is the wall clock in milliseconds when the call began.
+	AtMs int64 `json:"atMs"`
+}
+
+// Answer is the body of an answer.
+type Answer struct {
+	Service string   `json:"service"`
+	Path    string   `json:"path"`
+	Echo    string   `json:"echo,omitempty"`
+	Subs    []string `json:"subs,omitempty"`
+	Pad     string   `json:"pad,omitempty"`
+}
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	node    string
+	service string
+	address string
+	slots   int
+	client  *http.Client
+
+	sem chan struct{}
+
+	mu       sync.Mutex
+	behavior Behavior
+	journal  []Entry
+	egress   string
+}
+
+// New returns a stand-in for a service beside the node at URL node.
+func New(node, service, address string, slots int, b Behavior) *Server {
+	return &Server{
+		node: node, service: service, address: address, slots: slots, behavior: b,
+		client: &http.Client{}, sem: make(chan struct{}, slots),
+	}
+}
+
+// Handler serves calls, /control and /journal.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /control", s.control)
+	mux.HandleFunc("GET /journal", s.getJournal)
+	mux.HandleFunc("/", s.call)
+	return mux
+}
+
+// Announce announces the stand-in until ctx ends.
+func (s *Server) Announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := 100 * time.Millisecond
+		if ms, err := s.announce(ctx); err == nil {
+			wait = time.Duration(ms) * time.Millisecond
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (s *Server) announce(ctx context.Context) (int, error) {
+	b := s.now()
+	if b.Silent {
+		return 0, fmt.Errorf("silent")
+	}
+	state := b.State
+	if state == "" {
+		state = "ready"
+	}
+	body, _ := json.Marshal(api.Announcement{
+		Service: s.service, Address: s.address, Slots: s.slots, Connections: 8 * s.slots, State: state,
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.node+"/announce", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	var ack api.Acknowledgement
+	if err := json.NewDecoder(resp.Body).Decode(&ack); err != nil || resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("announcement refused: %d", resp.StatusCode)
+	}
+	s.mu.Lock()
+	s.egress = ack.Egress
+	s.mu.Unlock()
+	return ack.HeartbeatMs, nil
+}
+
+// Journal returns the calls run so far.
+func (s *Server) Journal() []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Entry{}, s.journal...)
+}
+
+// Set changes what the stand-in does.
+func (s *Server) Set(b Behavior) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behavior = b
+}
+
+func (s *Server) now() Behavior {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.behavior
+}
+
+func (s *Server) control(w http.ResponseWriter, r *http.Request) {
+	var b Behavior
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Set(b)
+	_, _ = s.announce(r.Context())
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) getJournal(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.Journal())
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	select {
+	case s.sem <- struct{}{}:
+		defer func() { <-s.sem }()
+	default:
+		w.Header().Set("Comfreycart-Outcome", "not-run")
+		http.Error(w, "no slot", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.record(r)
+	b := s.now()
+	select {
+	case <-time.After(time.Duration(b.DelayMs) * time.Millisecond):
+	case <-r.Context().Done():
+		return
+	}
+	if b.Hang {
+		<-r.Context().Done()
+		return
+	}
+	out := Answer{Service: s.service, Path: r.URL.RequestURI(), Echo: string(body), Pad: string(bytes.Repeat([]byte("x"), b.AnswerBytes))}
+	failed := s.subCalls(r, b, &out)
+	s.answer(w, b, out, failed)
+}
+
+func (s *Server) record(r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.journal = append(s.journal, Entry{
+		Method: r.Method, Path: r.URL.RequestURI(), Account: r.Header.Get("Comfreycart-Account"),
+		Call: r.Header.Get("Comfreycart-Call"), IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		Header: r.Header.Clone(), Trailer: r.Trailer.Clone(), AtMs: time.Now().UnixMilli(),
+	})
+}
+
+func (s *Server) subCalls(r *http.Request, b Behavior, out *Answer) (failed bool) {
+	out.Subs = make([]string, len(b.Subs))
+	oks := make([]bool, len(b.Subs))
+	var wg sync.WaitGroup
+	for i, sub := range b.Subs {
+		wg.Add(1)
+		run := func() {
+			defer wg.Done()
+			out.Subs[i], oks[i] = s.subCall(r, sub)
+		}
+		if b.Parallel {
+			go run()
+		} else {
+			run()
+		}
+	}
+	wg.Wait()
+	for _, ok := range oks {
+		failed = failed || !ok
+	}
+	return failed
+}
+
+func (s *Server) subCall(r *http.Request, sub Sub) (string, bool) {
+	s.mu.Lock()
+	egress := s.egress
+	s.mu.Unlock()
+	req, err := http.NewRequestWithContext(r.Context(), sub.Method, egress+sub.Path, nil)
+	if err != nil {
+		return err.Error(), false
+	}
+	req.Header.Set("Comfreycart-Call", r.Header.Get("Comfreycart-Call"))
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return "lost", false
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "lost", false
+	}
+	return string(body), resp.StatusCode < 500
+}
+
+func (s *Server) answer(w http.ResponseWriter, b Behavior, out Answer, failed bool) {
+	status := b.Status
+	if status == 0 {
+		status = http.StatusOK
+	}
+	if failed && b.PassFailure {
+		status = http.StatusBadGateway
+	}
+	body, _ := json.Marshal(out)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	w.WriteHeader(status)
+	if b.Truncate {
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(body)
+}
