--- a/internal/api/admin/admin.go
+++ b/internal/api/admin/admin.go
@@ -192,7 +192,7 @@
 		if match != "" && match != etag(t) {
 			return settingsync.ErrChanged
 		}
-		*t = *next
+		t.Deployment, t.Teams = next.Deployment, next.Teams
 		return nil
 	}, nil)
 }
@@ -238,7 +238,10 @@
 	if id == "" {
 		id = uuid.NewString()
 	}
-	version, err := h.acceptor.Accept(r.Context(), settingsync.Change{ID: id, Apply: apply})
+	version, err := h.acceptor.Accept(r.Context(), settingsync.Change{
+		ID:    id,
+		Apply: func(t *settings.Tree, _ uint64) error { return apply(t) },
+	})
 	if err != nil {
 		h.fail(w, err)
 		return
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,9 +19,12 @@
 	// Deployment names the settings that the node serves.
 	Deployment string `json:"deployment"`
 	// Domain is the node's failure domain.
-	Domain   string   `json:"domain"`
-	Listen   Listen   `json:"listen"`
-	Platform Platform `json:"platform"`
+	Domain string `json:"domain"`
+	Listen Listen `json:"listen"`
+	// AdvertisePeer is where other nodes reach this one, as IP:port; empty means
+	// the peer listener's address.
+	AdvertisePeer string   `json:"advertisePeer,omitempty"`
+	Platform      Platform `json:"platform"`
 	// Contacts are peer addresses to join by, beside those in the platform's table.
 	Contacts []string `json:"contacts,omitempty"`
 	// AdminTokenSHA256 is the hex hash of the token that may change everything.
@@ -97,6 +100,14 @@
 	return &n, nil
 }
 
+// PeerAddress is where other nodes reach this one.
+func (n *Node) PeerAddress() string {
+	if n.AdvertisePeer != "" {
+		return n.AdvertisePeer
+	}
+	return n.Listen.Peer
+}
+
 // PlatformTimeout is the bound of one call to the platform.
 func (n *Node) PlatformTimeout() time.Duration {
 	if n.Platform.TimeoutMs == 0 {
@@ -158,6 +169,9 @@
 		}
 		seen[l.value] = l.path
 	}
+	if _, err := netip.ParseAddrPort(n.PeerAddress()); err != nil {
+		return &Error{"/advertisePeer", fmt.Sprintf("%q: want IP:port", n.AdvertisePeer)}
+	}
 	return nil
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -322,16 +323,24 @@
 	return nil
 }
 
+// The ports of the demo's nodes are drawn below the system's range for outgoing
+// connections, which could take a free one before its node listens.
+const (
+	lowestPort  = 20000
+	highestPort = 32000
+)
+
 // freeAddresses finds loopback addresses that are free now.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
-	for range n {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(out) < n {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		lis, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, trace.Wrap(err)
+			continue
 		}
 		defer lis.Close()
-		out = append(out, lis.Addr().String())
+		out = append(out, address)
 	}
 	return out, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
 	"comfreycart.dev/comfreycart/internal/system/fence"
+	"comfreycart.dev/comfreycart/internal/system/homes"
 	"comfreycart.dev/comfreycart/internal/system/membership"
 	"comfreycart.dev/comfreycart/internal/system/serve"
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
@@ -46,6 +47,7 @@
 	PeerClient *peer.Client
 	Follower   *settingsync.Follower
 	Membership *membership.Manager
+	Homes      *homes.Manager
 	Fences     *fence.Table
 	Server     *serve.Server
 
@@ -60,6 +62,7 @@
 	defer n.wg.Wait()
 	defer stop()
 	if err := n.start(background); err != nil {
+		n.closeListeners()
 		return err
 	}
 	n.Log.Info().Msg("node started")
@@ -81,6 +84,7 @@
 	}
 	n.spawn(func() { n.Follower.Run(ctx) })
 	n.spawn(func() { n.Membership.Run(ctx) })
+	n.spawn(func() { n.Homes.Run(ctx) })
 	n.spawn(func() { n.expire(ctx) })
 	return nil
 }
@@ -148,6 +152,12 @@
 	_ = n.PeerClient.Close()
 }
 
+func (n *Node) closeListeners() {
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+}
+
 func (n *Node) spawn(f func()) {
 	n.wg.Add(1)
 	go func() {
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -12,6 +13,7 @@
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/entry"
 	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/peer"
 	"comfreycart.dev/comfreycart/internal/platform"
 	"comfreycart.dev/comfreycart/internal/system/dispatch"
 	"comfreycart.dev/comfreycart/internal/system/membership"
@@ -24,6 +26,10 @@
 	return dispatch.Self{ID: c.ID, Domain: c.Domain, Incarnation: uint64(time.Now().UnixNano())}
 }
 
+func provideSource(c *config.Node) peer.Source {
+	return peer.Source(netip.MustParseAddrPort(c.Listen.Peer).Addr())
+}
+
 func provideStore(c *config.Node) platform.Store {
 	return platform.NewClient(c.Platform.URL, c.PlatformTimeout())
 }
@@ -45,7 +51,7 @@
 }
 
 func provideMembershipOptions(c *config.Node, self dispatch.Self) membership.Options {
-	return membership.Options{Self: self, Address: c.Listen.Peer, Deployment: c.Deployment, Contacts: c.Contacts}
+	return membership.Options{Self: self, Address: c.PeerAddress(), Deployment: c.Deployment, Contacts: c.Contacts}
 }
 
 func provideBackend(c *config.Node, clk clock.Clock, v entry.Views, l *table.Locals, s *serve.Server) *backend.Handler {
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -17,6 +17,7 @@
 	"comfreycart.dev/comfreycart/internal/system/claims"
 	"comfreycart.dev/comfreycart/internal/system/dispatch"
 	"comfreycart.dev/comfreycart/internal/system/fence"
+	"comfreycart.dev/comfreycart/internal/system/homes"
 	"comfreycart.dev/comfreycart/internal/system/membership"
 	"comfreycart.dev/comfreycart/internal/system/serve"
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
@@ -28,14 +29,14 @@
 func New(c *config.Node, log zerolog.Logger) *Node {
 	wire.Build(
 		wire.Struct(new(Node), "Config", "Log", "Metric", "Caller", "Backend", "Egress", "Admin",
-			"PeerServer", "PeerClient", "Follower", "Membership", "Fences", "Server"),
-		provideSelf, provideStore, provideFollower, provideAcceptor, provideMembershipOptions,
+			"PeerServer", "PeerClient", "Follower", "Membership", "Homes", "Fences", "Server"),
+		provideSelf, provideSource, provideStore, provideFollower, provideAcceptor, provideMembershipOptions,
 		provideBackend, provideAdmin, provideStatus,
 		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
 		wire.Struct(new(settingsync.Current)),
 		metric.NewSet,
 		table.NewCalls, table.NewLocals, table.NewMembers, table.NewEndpoints,
-		fence.New, serve.New, dispatch.New, membership.New, shares.New, claims.New,
+		homes.New, fence.New, serve.New, dispatch.New, membership.New, shares.New, claims.New,
 		entry.New, caller.New, egress.New,
 		peer.NewClient, peer.NewServer,
 		wire.Bind(new(admin.StatusSource), new(*status)),
@@ -43,6 +44,7 @@
 		wire.Bind(new(entry.Freshness), new(*settingsync.Follower)),
 		wire.Bind(new(entry.Shares), new(*shares.Manager)),
 		wire.Bind(new(entry.Dispatcher), new(*dispatch.Dispatcher)),
+		wire.Bind(new(homes.Fence), new(*settingsync.Follower)),
 		wire.Bind(new(dispatch.Peers), new(*peer.Client)),
 		wire.Bind(new(dispatch.Local), new(*serve.Server)),
 		wire.Bind(new(peer.Syncer), new(*membership.Manager)),
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -17,6 +17,7 @@
 	"comfreycart.dev/comfreycart/internal/system/claims"
 	"comfreycart.dev/comfreycart/internal/system/dispatch"
 	"comfreycart.dev/comfreycart/internal/system/fence"
+	"comfreycart.dev/comfreycart/internal/system/homes"
 	"comfreycart.dev/comfreycart/internal/system/membership"
 	"comfreycart.dev/comfreycart/internal/system/serve"
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
@@ -37,7 +38,8 @@
 	manager := shares.New(boot)
 	self := provideSelf(c)
 	endpoints := table.NewEndpoints(boot)
-	client := peer.NewClient(boot)
+	source := provideSource(c)
+	client := peer.NewClient(boot, source)
 	calls := table.NewCalls()
 	locals := table.NewLocals()
 	fenceTable := fence.New(boot)
@@ -55,6 +57,7 @@
 	membershipManager := membership.New(options, boot, members, locals, client, store, log)
 	claimsManager := claims.New()
 	peerServer := peer.NewServer(self, boot, log, server, fenceTable, membershipManager, follower, manager, claimsManager)
+	homesManager := homes.New(self, boot, members, current, acceptor, follower, log)
 	node := &Node{
 		Config:     c,
 		Log:        log,
@@ -67,6 +70,7 @@
 		PeerClient: client,
 		Follower:   follower,
 		Membership: membershipManager,
+		Homes:      homesManager,
 		Fences:     fenceTable,
 		Server:     server,
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"storj.io/drpc"
@@ -30,13 +31,22 @@
 
 // Client sends messages to other nodes. It is safe for concurrent use.
 type Client struct {
-	clock clock.Clock
-	pool  *drpcpool.Pool[string, drpcpool.Conn]
+	clock  clock.Clock
+	dialer *net.Dialer
+	pool   *drpcpool.Pool[string, drpcpool.Conn]
 }
 
+// Source is the IP that a node's connections to others come from; the zero value
+// leaves it to the system.
+type Source netip.Addr
+
 // NewClient returns a client without connections.
-func NewClient(c clock.Clock) *Client {
-	return &Client{clock: c, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+func NewClient(c clock.Clock, source Source) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if ip := netip.Addr(source); ip.IsValid() && !ip.IsUnspecified() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))
+	}
+	return &Client{clock: c, dialer: dialer, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  idleExpiry,
 		Capacity:    idleInAll,
 		KeyCapacity: idlePerPeer,
@@ -48,13 +58,13 @@
 
 // To returns a stub for the peer at address.
 func (c *Client) To(ctx context.Context, address string) peerpb.DRPCPeerClient {
-	return peerpb.NewDRPCPeerClient(c.pool.Get(ctx, address, dial))
+	return peerpb.NewDRPCPeerClient(c.pool.Get(ctx, address, c.dial))
 }
 
 // Call runs a call beside e. A failure PeerUnreachable means that nothing was sent;
 // PeerLost that the call may run.
 func (c *Client) Call(ctx context.Context, e *table.Endpoint, cl *call.Call) call.Result {
-	conn := &sentConn{Conn: c.pool.Get(ctx, e.Address, dial), pool: c.pool, key: e.Address}
+	conn := &sentConn{client: c, address: e.Address}
 	reply, err := peerpb.NewDRPCPeerClient(conn).Call(ctx, callToProto(cl, c.clock.Now(), e.Incarnation))
 	if err != nil && !conn.sent {
 		return call.Fail(call.Refuse(call.PeerUnreachable, "node %s cannot be reached", e.Node), cl.Allowance)
@@ -79,28 +89,27 @@
 // have been sent.
 type sentConn struct {
 	drpc.Conn
-	pool *drpcpool.Pool[string, drpcpool.Conn]
-	key  string
-	sent bool
+	client  *Client
+	address string
+	sent    bool
 }
 
 // Invoke implements drpc.Conn.
 func (s *sentConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
-	conn, ok := s.pool.Take(s.key)
+	conn, ok := s.client.pool.Take(s.address)
 	if !ok {
 		var err error
-		if conn, err = dial(ctx, s.key); err != nil {
+		if conn, err = s.client.dial(ctx, s.address); err != nil {
 			return err
 		}
 	}
 	s.sent = true
-	defer s.pool.Put(s.key, conn)
+	defer s.client.pool.Put(s.address, conn)
 	return conn.Invoke(ctx, rpc, enc, in, out)
 }
 
-func dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	raw, err := d.DialContext(ctx, "tcp", address)
+func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,20 @@
 type Tree struct {
 	Deployment Deployment      `json:"deployment"`
 	Teams      map[string]Team `json:"teams"`
+	// Homes is written by the nodes themselves, not by operators.
+	Homes Homes `json:"-"`
+}
+
+// Homes gives each slot of each class of work its one owner.
+type Homes map[string][]Home
+
+// Home is the owner of a slot.
+type Home struct {
+	// Node is the owner's ID; empty means none.
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+	// Since is the first version of the settings that names this owner.
+	Since uint64 `json:"since"`
 }
 
 // Deployment is the part that only the deployment's own operators may change.
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -97,6 +97,9 @@
 	}
 	st := s.stations[service]
 	if st == nil || st.pool.address != local.Address {
+		if st != nil {
+			st.pool.close()
+		}
 		st = &station{gate: gate.New(s.clock, local.Slots), pool: newPool(local.Address)}
 		s.stations[service] = st
 	}
--- a/internal/system/settingsync/accept.go
+++ b/internal/system/settingsync/accept.go
@@ -29,8 +29,9 @@
 type Change struct {
 	// ID makes resubmissions one change.
 	ID string
-	// Apply edits the tree. It may be called several times, each on a fresh copy.
-	Apply func(t *settings.Tree) error
+	// Apply edits the tree, which will be in force as version. It may be called
+	// several times, each on a fresh copy.
+	Apply func(t *settings.Tree, version uint64) error
 }
 
 // accepted is the content of a change's row.
@@ -97,7 +98,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := c.Apply(tree); err != nil {
+	if err := c.Apply(tree, head.Version+1); err != nil {
 		return 0, err
 	}
 	if err := tree.Validate(); err != nil {
--- a/internal/system/settingsync/document.go
+++ b/internal/system/settingsync/document.go
@@ -24,6 +24,7 @@
 type Manifest struct {
 	Deployment string            `json:"deployment"`
 	Teams      map[string]string `json:"teams"`
+	Homes      string            `json:"homes"`
 }
 
 // Digest returns the name of an object.
@@ -34,7 +35,7 @@
 
 // Digests returns the digests of all objects that m names.
 func (m *Manifest) Digests() []string {
-	all := []string{m.Deployment}
+	all := []string{m.Deployment, m.Homes}
 	for _, d := range m.Teams {
 		all = append(all, d)
 	}
@@ -58,6 +59,9 @@
 	if m.Deployment, err = add(t.Deployment); err != nil {
 		return m, nil, err
 	}
+	if m.Homes, err = add(t.Homes); err != nil {
+		return m, nil, err
+	}
 	for name, team := range t.Teams {
 		if m.Teams[name], err = add(team); err != nil {
 			return m, nil, err
@@ -72,6 +76,9 @@
 	if err := json.Unmarshal(objects[m.Deployment], &t.Deployment); err != nil {
 		return nil, err
 	}
+	if err := json.Unmarshal(objects[m.Homes], &t.Homes); err != nil {
+		return nil, err
+	}
 	for name, d := range m.Teams {
 		var team settings.Team
 		if err := json.Unmarshal(objects[d], &team); err != nil {
--- a/internal/system/settingsync/follower.go
+++ b/internal/system/settingsync/follower.go
@@ -21,6 +21,8 @@
 	// freshFor is how long a node serves keyed routes after its last evidence that
 	// it has the version in force.
 	freshFor = 4 * time.Second
+	// fenceMargin covers the drift of another VM's clock over freshFor.
+	fenceMargin = 200 * time.Millisecond
 )
 
 // Current is the version that this node has in force. It is safe for concurrent use.
@@ -41,8 +43,9 @@
 
 	confirmed atomic.Int64
 
-	mu      sync.Mutex
-	objects map[string][]byte
+	mu        sync.Mutex
+	objects   map[string][]byte
+	installed clock.Time
 }
 
 // NewFollower returns a follower that installs into current.
@@ -99,6 +102,15 @@
 	return f.clock.Now().Sub(clock.Time(f.confirmed.Load()))
 }
 
+// Fenced reports whether every node that does not know the version has surely
+// stopped trusting its older settings. A new owner of a slot acts only then.
+func (f *Follower) Fenced(version uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.current.View()
+	return v != nil && v.Version >= version && f.clock.Now().Sub(f.installed) > freshFor+fenceMargin
+}
+
 // install fetches and installs a version unless one as high is in force.
 func (f *Follower) install(ctx context.Context, head Head) error {
 	f.mu.Lock()
@@ -111,6 +123,7 @@
 		return err
 	}
 	f.objects = objects
+	f.installed = f.clock.Now()
 	f.current.view.Store(settings.Compile(head.Version, tree))
 	f.log.Info().Uint64("version", head.Version).Msg("settings in force")
 	return nil
--- /dev/null
+++ b/test/script/bench_test.go
@@ -0,0 +1,58 @@
+package script
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// BenchmarkAddedLatency compares requests through two nodes with requests straight
+// to the same backend server, taken in turns in one run.
+func BenchmarkAddedLatency(b *testing.B) {
+	f := newFleet(b.TempDir())
+	f.direct = true
+	defer f.close()
+	keys := map[string]string{}
+	require.NoError(b, f.start("vysocina", 3))
+	require.NoError(b, f.configure(examplesDir()+"/vysocina.json", func(k, v string) { keys[k] = v }))
+	require.NoError(b, f.startBackend("node2", "stock", []string{"--delay-ms", "2"}))
+	require.NoError(b, await(readyTimeout, func() error { return f.ready("node1", 1, 1) }))
+	direct, err := f.backend("node2", "stock")
+	require.NoError(b, err)
+	n, err := f.node("node1")
+	require.NoError(b, err)
+
+	through := request{url: "http://" + n.Listen.Caller, method: "GET", path: "/stock/1", key: keys["KEY_praha_duvets"]}
+	straight := request{url: direct, method: "GET", path: "/stock/1"}
+	var a, d []time.Duration
+	for b.Loop() {
+		d = append(d, timed(b, straight))
+		a = append(a, timed(b, through))
+	}
+	report(b, d, a)
+}
+
+func timed(b *testing.B, q request) time.Duration {
+	begin := time.Now()
+	out, err := q.send()
+	took := time.Since(begin)
+	require.NoError(b, err)
+	require.Equal(b, 200, out.status, out.body)
+	return took
+}
+
+func report(b *testing.B, direct, through []time.Duration) {
+	slices.Sort(direct)
+	slices.Sort(through)
+	for _, q := range []struct {
+		name string
+		part float64
+	}{{"p50", 0.5}, {"p99", 0.99}} {
+		d := direct[int(float64(len(direct)-1)*q.part)]
+		t := through[int(float64(len(through)-1)*q.part)]
+		b.ReportMetric(float64((t - d).Microseconds()), q.name+"-added-us")
+		b.ReportMetric(float64(t)/float64(d), q.name+"-ratio")
+	}
+}
--- /dev/null
+++ b/test/script/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package script
+
+const raceEnabled = true
--- /dev/null
+++ b/test/script/script_test.go
@@ -0,0 +1,57 @@
+// Package script runs scripted scenarios over real, separate processes on loopback.
+package script
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// binaries is the folder with the programs under test, built once.
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "comfreycart")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	args := []string{"build"}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	args = append(args, "-o", dir+"/", "../../cmd/...", "../standin")
+	out, err := exec.Command("go", args...).CombinedOutput()
+	if err != nil {
+		panic("building: " + err.Error() + "\n" + string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: ".",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", binaries+string(filepath.ListSeparator)+os.Getenv("PATH"))
+			env.Setenv("EXAMPLES", examplesDir())
+			env.Values[fleetKey{}] = newFleet(env.WorkDir)
+			env.Defer(env.Values[fleetKey{}].(*fleet).close)
+			return nil
+		},
+		Cmds:               commands,
+		RequireUniqueNames: true,
+	})
+}
+
+func examplesDir() string {
+	dir, err := filepath.Abs("../../examples")
+	if err != nil {
+		panic(err)
+	}
+	return dir
+}
