--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/call"
@@ -34,9 +33,6 @@
 	Incarnation uint64
 }
 
-// fenceTimeout bounds the question whether a lost call has started.
-const fenceTimeout = 500 * time.Millisecond
-
 // Dispatcher sends calls. It is safe for concurrent use.
 type Dispatcher struct {
 	self      Self
@@ -84,32 +80,6 @@
 	return call.Fail(f, left)
 }
 
-// pick returns an untried endpoint: the less busy of two drawn, near ones first.
-func (d *Dispatcher) pick(service string, tried map[string]bool) *table.Endpoint {
-	var near, far []*table.Endpoint
-	for _, e := range d.endpoints.Of(service) {
-		if tried[e.Node] {
-			continue
-		}
-		if e.Domain == d.self.Domain {
-			near = append(near, e)
-		} else {
-			far = append(far, e)
-		}
-	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return nil
-	}
-	a, b := near[rand.IntN(len(near))], near[rand.IntN(len(near))]
-	if b.InFlight() < a.InFlight() {
-		return b
-	}
-	return a
-}
-
 // send makes one attempt.
 func (d *Dispatcher) send(ctx context.Context, e *table.Endpoint, c *call.Call, left int) call.Result {
 	attempt := *c
@@ -130,28 +100,3 @@
 	}
 	return r
 }
-
-// settle asks for proof that a lost call did not run.
-func (d *Dispatcher) settle(ctx context.Context, e *table.Endpoint, id call.ID, r *call.Result) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fenceTimeout)
-	defer cancel()
-	if d.peers.Fence(ctx, e, id) {
-		r.Failure = call.Refuse(call.Fenced, "the call was fenced before it started")
-	}
-}
-
-// again decides whether a call may be sent to another endpoint.
-func again(ctx context.Context, c *call.Call, r *call.Result) (call.Reason, bool) {
-	if ctx.Err() != nil || r.Overloaded {
-		return "", false
-	}
-	if r.Answer != nil {
-		return call.BackendError, r.Answer.Status >= 500 && c.Idempotent
-	}
-	f := r.Failure
-	switch f.Reason {
-	case call.DeadlinePassed, call.Cancelled, call.AnswerTooLarge:
-		return f.Reason, false
-	}
-	return f.Reason, f.Outcome == call.NotRun || c.Idempotent
-}
