Settings by JSON Schema, and single items through API and tool

Cause: a wrong type was reported without its full path, and one account could only be changed by replacing its team's whole subtree. Ruled out: own shape checks by hand; encoding/json's field path, which lacks map keys. Change: the schema is generated from the types, published, and checked first; faults carry JSON pointers; GET, PUT, DELETE of one service, account or route with ETag and Change-Id; set, delete, schema in the tool; a fuzz target. Conclusion: operators see the faulty path; keys stay on their own calls.

--- a/cmd/comfreycart/main.go
+++ b/cmd/comfreycart/main.go
@@ -26,6 +26,9 @@
 	Get    getCmd    `cmd:"" help:"Print the settings in force."`
 	Diff   diffCmd   `cmd:"" help:"Print what apply would change."`
 	Apply  applyCmd  `cmd:"" help:"Put a settings file in force."`
+	Set    setCmd    `cmd:"" help:"Add or replace one service, account or route."`
+	Delete deleteCmd `cmd:"" help:"Delete one service, account or route."`
+	Schema schemaCmd `cmd:"" help:"Print the JSON Schema of settings files."`
 	Key    keyCmd    `cmd:"" help:"Grant and withdraw keys."`
 	Status statusCmd `cmd:"" help:"Print a node's view of the fleet."`
 	Demo   demoCmd   `cmd:"" help:"Run a small fleet in this process."`
--- a/cmd/comfreycart/settings.go
+++ b/cmd/comfreycart/settings.go
@@ -26,7 +26,9 @@
 
 type getCmd struct {
 	remote
-	Team string `arg:"" optional:"" help:"Team; all settings if left out."`
+	Team    string `arg:"" optional:"" help:"Team; all settings if left out."`
+	Section string `arg:"" optional:"" help:"services, accounts or routes."`
+	Name    string `arg:"" optional:"" help:"Name of one item of the section."`
 }
 
 // Run prints settings as JSON.
@@ -35,8 +37,15 @@
 		tree, _, err := c.client().Tree(ctx)
 		return printOr(tree, err)
 	}
-	team, _, err := c.client().Team(ctx, c.Team)
-	return printOr(team, err)
+	if c.Section == "" {
+		team, _, err := c.client().Team(ctx, c.Team)
+		return printOr(team, err)
+	}
+	if c.Name == "" {
+		return fmt.Errorf("get %s %s: name the item too", c.Team, c.Section)
+	}
+	item, _, err := c.client().Item(ctx, c.Team, c.Section, c.Name)
+	return printOr(item, err)
 }
 
 type applyCmd struct {
--- a/internal/api/admin/admin.go
+++ b/internal/api/admin/admin.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 
@@ -80,6 +81,10 @@
 	mux.HandleFunc("PUT /admin/v1/settings", h.putTree)
 	mux.HandleFunc("GET /admin/v1/settings/{team}", h.getTeam)
 	mux.HandleFunc("PUT /admin/v1/settings/{team}", h.putTeam)
+	mux.HandleFunc("GET "+itemPath, h.getItem)
+	mux.HandleFunc("PUT "+itemPath, h.putItem)
+	mux.HandleFunc("DELETE "+itemPath, h.deleteItem)
+	mux.HandleFunc("GET /admin/v1/schema", h.getSchema)
 	mux.HandleFunc("POST /admin/v1/keys/{team}/{account}", h.grantKey)
 	mux.HandleFunc("DELETE /admin/v1/keys/{team}/{account}/{id}", h.withdrawKey)
 	return mux
@@ -165,9 +170,7 @@
 	}
 	team, ok := tree.Teams[name]
 	if !ok {
-		problem.WriteDocument(w, problem.Document{
-			Status: http.StatusNotFound, Reason: reasonNotFound, Detail: "there is no team " + name,
-		})
+		notFound(w, fmt.Errorf("there is no team %s", name))
 		return
 	}
 	w.Header().Set("ETag", etag(team))
@@ -260,6 +263,8 @@
 	switch {
 	case errors.As(err, &fault):
 		d = problem.Document{Status: http.StatusUnprocessableEntity, Reason: reasonInvalid, Detail: fault.Problem, Path: fault.Path}
+	case isNoItem(err):
+		d.Status, d.Reason = http.StatusNotFound, reasonNotFound
 	case errors.Is(err, settingsync.ErrChanged):
 		d.Status, d.Reason = http.StatusPreconditionFailed, reasonChanged
 	case errors.Is(err, settingsync.ErrUnsettled):
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -79,6 +79,31 @@
 	return a, err
 }
 
+// Item returns one item of a team's subtree and its ETag.
+func (c *Client) Item(ctx context.Context, team, section, name string) (json.RawMessage, string, error) {
+	var raw json.RawMessage
+	tag, err := c.do(ctx, http.MethodGet, itemPath(team, section, name), Change{}, nil, &raw)
+	return raw, tag, err
+}
+
+// PutItem adds or replaces one item, given as JSON.
+func (c *Client) PutItem(ctx context.Context, team, section, name string, item json.RawMessage, ch Change) (admin.Accepted, error) {
+	var a admin.Accepted
+	_, err := c.do(ctx, http.MethodPut, itemPath(team, section, name), ch, item, &a)
+	return a, err
+}
+
+// DeleteItem removes one item.
+func (c *Client) DeleteItem(ctx context.Context, team, section, name string, ch Change) (admin.Accepted, error) {
+	var a admin.Accepted
+	_, err := c.do(ctx, http.MethodDelete, itemPath(team, section, name), ch, nil, &a)
+	return a, err
+}
+
+func itemPath(team, section, name string) string {
+	return "/admin/v1/settings/" + url.PathEscape(team) + "/" + url.PathEscape(section) + "/" + url.PathEscape(name)
+}
+
 // Grant makes a new key for an account.
 func (c *Client) Grant(ctx context.Context, team, account, note string, ch Change) (admin.Accepted, error) {
 	var a admin.Accepted
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,7 +3,6 @@
 package settings
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -116,7 +115,7 @@
 // Parse decodes a tree and checks it whole. Its error is a *Fault.
 func Parse(data []byte) (*Tree, error) {
 	var t Tree
-	if err := decodeStrict(data, &t); err != nil {
+	if err := decode(data, "", &t); err != nil {
 		return nil, err
 	}
 	if err := t.Validate(); err != nil {
@@ -127,20 +126,15 @@
 
 // ParseTeam decodes one team's subtree without checking references to others.
 // Its error is a *Fault.
-func ParseTeam(data []byte) (Team, error) {
-	var t Team
-	err := decodeStrict(data, &t)
-	return t, err
-}
+func ParseTeam(data []byte) (Team, error) { return parseItem[Team](data) }
 
-func decodeStrict(data []byte, out any) error {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(out); err != nil {
-		return decodeFault(err)
+// decode fills out from data that fits a part of the schema.
+func decode(data []byte, part string, out any) error {
+	if err := checkShape(data, part); err != nil {
+		return err
 	}
-	if dec.More() {
-		return &Fault{Path: "", Problem: "more than one JSON value"}
+	if err := json.Unmarshal(data, out); err != nil {
+		return &Fault{Problem: err.Error()}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,87 @@
+package settings
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreycart.dev/comfreycart/examples"
+)
+
+func example(t testing.TB, name string) []byte {
+	data, err := examples.Files.ReadFile(name + ".json")
+	require.NoError(t, err)
+	return data
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, name := range []string{"luntiang", "vysocina"} {
+		tree, err := Parse(example(t, name))
+		require.NoError(t, err, name)
+		accounts := 0
+		for _, team := range tree.Teams {
+			accounts += len(team.Accounts)
+		}
+		require.Equal(t, 8, accounts, name)
+	}
+}
+
+// Each fault is named by the path where it stands.
+func TestFaultsNameTheirPath(t *testing.T) {
+	cases := []struct{ old, new, path, problem string }{
+		{`"rate": 500`, `"rate": "many"`, "/teams/counter/accounts/brno-upholstery/rate", "want number"},
+		{`"burst": 250`, `"burst": 0`, "/teams/counter/accounts/brno-upholstery/burst", "must be from 1"},
+		{`"slots": 20`, `"slotz": 20`, "/teams/logistics/services/dispatch", "missing property"},
+		{`"idempotent": true`, `"idempotent": true, "colour": 1`, "/teams/counter/routes/0/colour", "no such setting"},
+		{`"priority": "normal"`, `"priority": "urgent"`, "/teams/counter/routes/0/priority", `"urgent"`},
+		{`"deadlineMs": 500`, `"deadlineMs": 0`, "/teams/counter/routes/0/deadlineMs", "must be from 1"},
+		{`"service": "dispatch"`, `"service": "nowhere"`, "/teams/logistics/routes/0/service", `no service "nowhere"`},
+		{`"name": "vysocina"`, `"name": "Vysočina"`, "/deployment/name", "name"},
+		{`"name": "place-order"`, `"name": "grade-check"`, "/teams/counter/routes/2", "already declared"},
+	}
+	for _, c := range cases {
+		text := strings.Replace(string(example(t, "vysocina")), c.old, c.new, 1)
+		_, err := Parse([]byte(text))
+		var fault *Fault
+		require.ErrorAs(t, err, &fault, c.new)
+		require.Equal(t, c.path, fault.Path, c.new)
+		require.Contains(t, fault.Problem, c.problem, c.new)
+	}
+}
+
+// FuzzParse checks that no input makes Parse panic, and that what it accepts
+// survives a round trip.
+func FuzzParse(f *testing.F) {
+	f.Add(example(f, "luntiang"))
+	f.Add(example(f, "vysocina"))
+	f.Add([]byte(`{"deployment":{"name":"a"},"teams":{}}`))
+	f.Add([]byte(`{"deployment":null}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		tree, err := Parse(data)
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(tree)
+		require.NoError(t, err)
+		_, err = Parse(again)
+		require.NoError(t, err)
+	})
+}
+
+func TestRoutesMatchWholeSegments(t *testing.T) {
+	tree, err := Parse(example(t, "vysocina"))
+	require.NoError(t, err)
+	v := Compile(1, tree)
+	r, ok := v.Route("GET", "/stock/7", false)
+	require.True(t, ok)
+	require.Equal(t, "stock", r.Service)
+	_, ok = v.Route("GET", "/stockings", false)
+	require.False(t, ok)
+	_, ok = v.Route("POST", "/reservations", false)
+	require.False(t, ok, "an internal route is hidden from callers")
+	_, ok = v.Route("POST", "/reservations", true)
+	require.True(t, ok)
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/hex"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"math"
 	"regexp"
@@ -27,15 +25,6 @@
 	return f.Path + ": " + f.Problem
 }
 
-func decodeFault(err error) *Fault {
-	var te *json.UnmarshalTypeError
-	if errors.As(err, &te) {
-		path := "/" + strings.ReplaceAll(te.Field, ".", "/")
-		return &Fault{Path: path, Problem: fmt.Sprintf("got a JSON %s, want %s", te.Value, te.Type)}
-	}
-	return &Fault{Problem: err.Error()}
-}
-
 // Bounds of settings.
 const (
 	maxRate       = 1e9
