Routes found in constant time, keys without allocation

Ruled out: a radix tree library; whole segments make a map lookup a segment enough. Change: routes in a map by method and prefix, tried from the longest prefix that exists; key hashes as arrays; a prefix must not end with a slash. Conclusion: lookup no longer grows with the number of services.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -80,8 +80,36 @@
 	require.Equal(t, "stock", r.Service)
 	_, ok = v.Route("GET", "/stockings", false)
 	require.False(t, ok)
+	for _, path := range []string{"/stock", "/stock/", "/stock/7/8/" + strings.Repeat("/x", 1000)} {
+		r, ok = v.Route("GET", path, false)
+		require.True(t, ok, path)
+		require.Equal(t, "stock", r.Service)
+	}
+	_, ok = v.Route("GET", "/", false)
+	require.False(t, ok)
+	_, ok = v.Route("GET", "*", false)
+	require.False(t, ok)
 	_, ok = v.Route("POST", "/reservations", false)
 	require.False(t, ok, "an internal route is hidden from callers")
 	_, ok = v.Route("POST", "/reservations", true)
 	require.True(t, ok)
 }
+
+// The longest matching prefix wins, and a shorter one serves what it does not cover.
+func TestLongestPrefixWins(t *testing.T) {
+	tree, err := Parse([]byte(`{"deployment":{"name":"d"},"teams":{"t":{
+		"services":{"a":{"slots":1,"connections":1},"b":{"slots":1,"connections":1}},
+		"routes":[
+			{"name":"all","method":"GET","prefix":"/","service":"a","priority":"low","idempotent":true,"deadlineMs":5},
+			{"name":"deep","method":"GET","prefix":"/x/y","service":"b","priority":"low","idempotent":true,"deadlineMs":5,"internal":true}]}}}`))
+	require.NoError(t, err)
+	v := Compile(1, tree)
+	for path, want := range map[string]string{"/": "all", "/x": "all", "/x/yz": "all", "/x/y": "deep", "/x/y/z": "deep"} {
+		r, ok := v.Route("GET", path, true)
+		require.True(t, ok, path)
+		require.Equal(t, want, r.Name, path)
+	}
+	r, ok := v.Route("GET", "/x/y", false)
+	require.True(t, ok)
+	require.Equal(t, "all", r.Name, "an internal route does not hide an outer one")
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -175,6 +175,9 @@
 	if !strings.HasPrefix(r.Prefix, "/") || strings.ContainsAny(r.Prefix, "?#") {
 		c.fail(path+"/prefix", "%q: want a path that begins with '/'", r.Prefix)
 	}
+	if len(r.Prefix) > 1 && strings.HasSuffix(r.Prefix, "/") {
+		c.fail(path+"/prefix", "%q: must not end with '/'", r.Prefix)
+	}
 	if _, ok := c.services[r.Service]; !ok {
 		c.fail(path+"/service", "there is no service %q", r.Service)
 	}
--- a/internal/settings/view.go
+++ b/internal/settings/view.go
@@ -1,8 +1,8 @@
 package settings
 
 import (
-	"cmp"
-	"slices"
+	"crypto/sha256"
+	"encoding/hex"
 	"strings"
 	"time"
 
@@ -20,10 +20,14 @@
 	// IdempotencyWindow is how long a repeat is recognized.
 	IdempotencyWindow time.Duration
 
-	keys   map[string]string
-	routes []CompiledRoute
+	keys   map[[sha256.Size]byte]string
+	routes map[routeKey]*CompiledRoute
+	// longest is the length of the longest prefix.
+	longest int
 }
 
+type routeKey struct{ method, prefix string }
+
 // CompiledRoute is a route with its defaults filled in.
 type CompiledRoute struct {
 	Route
@@ -39,7 +43,8 @@
 		Services:          map[string]Service{},
 		Accounts:          map[string]Account{},
 		IdempotencyWindow: time.Duration(t.Deployment.IdempotencyWindowMs) * time.Millisecond,
-		keys:              map[string]string{},
+		keys:              map[[sha256.Size]byte]string{},
+		routes:            map[routeKey]*CompiledRoute{},
 	}
 	if v.IdempotencyWindow == 0 {
 		v.IdempotencyWindow = DefaultIdempotencyWindow
@@ -47,7 +52,6 @@
 	for _, team := range t.Teams {
 		v.addTeam(team)
 	}
-	slices.SortFunc(v.routes, longestPrefixFirst)
 	return v
 }
 
@@ -59,14 +63,17 @@
 		v.Accounts[name] = a
 	}
 	for hash, k := range t.Keys {
-		v.keys[hash] = k.Account
+		var sum [sha256.Size]byte
+		_, _ = hex.Decode(sum[:], []byte(hash))
+		v.keys[sum] = k.Account
 	}
 	for _, r := range t.Routes {
-		v.routes = append(v.routes, compileRoute(r))
+		v.routes[routeKey{r.Method, r.Prefix}] = compileRoute(r)
+		v.longest = max(v.longest, len(r.Prefix))
 	}
 }
 
-func compileRoute(r Route) CompiledRoute {
+func compileRoute(r Route) *CompiledRoute {
 	level, _ := call.ParsePriority(r.Priority)
 	if r.BodyLimitBytes == 0 {
 		r.BodyLimitBytes = DefaultBodyLimitBytes
@@ -74,40 +81,39 @@
 	if r.AnswerLimitBytes == 0 {
 		r.AnswerLimitBytes = DefaultAnswerLimitBytes
 	}
-	return CompiledRoute{Route: r, Level: level, Deadline: time.Duration(r.DeadlineMs) * time.Millisecond}
-}
-
-func longestPrefixFirst(a, b CompiledRoute) int {
-	if n := cmp.Compare(len(b.Prefix), len(a.Prefix)); n != 0 {
-		return n
-	}
-	return cmp.Compare(a.Name, b.Name)
+	return &CompiledRoute{Route: r, Level: level, Deadline: time.Duration(r.DeadlineMs) * time.Millisecond}
 }
 
 // Account returns the account that a key was granted to.
 func (v *View) Account(key string) (string, bool) {
-	a, ok := v.keys[HashKey(key)]
+	a, ok := v.keys[sha256.Sum256([]byte(key))]
 	return a, ok
 }
 
-// Route returns the route with the longest prefix that matches. Internal routes
-// match only where internal is set.
+// Route returns the route with the longest prefix of whole path segments that
+// matches. Internal routes match only where internal is set.
 func (v *View) Route(method, path string, internal bool) (*CompiledRoute, bool) {
-	for i := range v.routes {
-		r := &v.routes[i]
-		if r.Internal && !internal {
-			continue
-		}
-		if r.Method == method && underPrefix(path, r.Prefix) {
+	prefix := path
+	if len(path) > v.longest {
+		prefix = cutSegment(path[:v.longest+1])
+	}
+	for prefix != "" {
+		r := v.routes[routeKey{method, prefix}]
+		if r != nil && (internal || !r.Internal) {
 			return r, true
 		}
+		prefix = cutSegment(prefix)
 	}
 	return nil, false
 }
 
-func underPrefix(path, prefix string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
+// cutSegment drops the last segment of a path; the last one left is "/", then "".
+func cutSegment(path string) string {
+	switch i := strings.LastIndexByte(path, '/'); {
+	case i > 0:
+		return path[:i]
+	case i == 0 && len(path) > 1:
+		return "/"
 	}
-	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+	return ""
 }
