--- a/test/script/bench_test.go
+++ b/test/script/bench_test.go
@@ -1,7 +1,12 @@
 package script
 
 import (
+	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,11 +32,31 @@
 	through := request{url: "http://" + n.Listen.Caller, method: "GET", path: "/stock/1", key: keys["KEY_praha_duvets"]}
 	straight := request{url: direct, method: "GET", path: "/stock/1"}
 	var a, d []time.Duration
+	before := []time.Duration{f.cpu(b, "node1"), f.cpu(b, "node2")}
 	for b.Loop() {
 		d = append(d, timed(b, straight))
 		a = append(a, timed(b, through))
 	}
 	report(b, d, a)
+	b.ReportMetric(float64((f.cpu(b, "node1")-before[0]).Microseconds())/float64(b.N), "entry-cpu-us/op")
+	b.ReportMetric(float64((f.cpu(b, "node2")-before[1]).Microseconds())/float64(b.N), "serve-cpu-us/op")
+}
+
+// cpu returns the processor time that a process's threads have used, control included.
+func (f *fleet) cpu(b *testing.B, name string) time.Duration {
+	p, err := f.process(name)
+	require.NoError(b, err)
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+	require.NoError(b, err)
+	var sum time.Duration
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		require.NoError(b, err)
+		ns, err := strconv.ParseInt(strings.Fields(string(data))[0], 10, 64)
+		require.NoError(b, err)
+		sum += time.Duration(ns)
+	}
+	return sum
 }
 
 func timed(b *testing.B, q request) time.Duration {
