--- a/cmd/comfreycartd/main.go
+++ b/cmd/comfreycartd/main.go
@@ -33,7 +33,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("node", cfg.ID).Logger()
-	return node.New(cfg, log).Run(ctx)
+	return node.New(cfg, node.BaseLog(log)).Run(ctx)
 }
 
 func main() {
--- /dev/null
+++ b/internal/node/loglevel.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/system/settingsync"
+)
+
+// BaseLog is the logger that a node is given; what it keeps depends on the settings.
+type BaseLog zerolog.Logger
+
+// levelHook drops events below the level that the settings name.
+type levelHook struct {
+	current *settingsync.Current
+}
+
+// Run implements zerolog.Hook.
+func (h levelHook) Run(e *zerolog.Event, level zerolog.Level, _ string) {
+	if level < h.level() {
+		e.Discard()
+	}
+}
+
+func (h levelHook) level() zerolog.Level {
+	v := h.current.View()
+	if v == nil {
+		return zerolog.InfoLevel
+	}
+	level, err := zerolog.ParseLevel(v.Tree.Deployment.LogLevel)
+	if err != nil || level == zerolog.NoLevel {
+		return zerolog.InfoLevel
+	}
+	return level
+}
+
+func provideLog(base BaseLog, c *settingsync.Current) zerolog.Logger {
+	return zerolog.Logger(base).Hook(levelHook{c})
+}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -4,7 +4,6 @@
 
 import (
 	"github.com/google/wire"
-	"github.com/rs/zerolog"
 
 	"comfreycart.dev/comfreycart/internal/api/admin"
 	"comfreycart.dev/comfreycart/internal/api/caller"
@@ -26,11 +25,11 @@
 )
 
 // New puts a node together; Run starts it.
-func New(c *config.Node, log zerolog.Logger) *Node {
+func New(c *config.Node, log BaseLog) *Node {
 	wire.Build(
 		wire.Struct(new(Node), "Config", "Log", "Metric", "Caller", "Backend", "Egress", "Admin",
 			"PeerServer", "PeerClient", "Follower", "Membership", "Homes", "Fences", "Server"),
-		provideSelf, provideSource, provideStore, provideFollower, provideAcceptor, provideMembershipOptions,
+		provideLog, provideSelf, provideSource, provideStore, provideFollower, provideAcceptor, provideMembershipOptions,
 		provideBackend, provideAdmin, provideStatus,
 		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
 		wire.Struct(new(settingsync.Current)),
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -23,18 +23,18 @@
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
 	"comfreycart.dev/comfreycart/internal/system/shares"
 	"comfreycart.dev/comfreycart/internal/table"
-	"github.com/rs/zerolog"
 )
 
 // Injectors from wire.go:
 
 // New puts a node together; Run starts it.
-func New(c *config.Node, log zerolog.Logger) *Node {
+func New(c *config.Node, log BaseLog) *Node {
+	current := &settingsync.Current{}
+	logger := provideLog(log, current)
 	set := metric.NewSet()
 	boot := clock.Boot{}
-	current := &settingsync.Current{}
 	store := provideStore(c)
-	follower := provideFollower(c, boot, store, current, log, set)
+	follower := provideFollower(c, boot, store, current, logger, set)
 	manager := shares.New(boot)
 	self := provideSelf(c)
 	endpoints := table.NewEndpoints(boot)
@@ -46,21 +46,21 @@
 	server := serve.New(boot, calls, locals, fenceTable, set)
 	dispatcher := dispatch.New(self, boot, endpoints, client, server, set)
 	gate := entry.New(boot, current, follower, manager, dispatcher)
-	handler := caller.New(gate, set, log)
+	handler := caller.New(gate, set, logger)
 	backendHandler := provideBackend(c, boot, current, locals, server)
-	egressHandler := egress.New(boot, current, calls, dispatcher, set, log)
+	egressHandler := egress.New(boot, current, calls, dispatcher, set, logger)
 	acceptor := provideAcceptor(c, store)
 	members := table.NewMembers(boot, endpoints)
 	nodeStatus := provideStatus(self, current, follower, members)
-	adminHandler := provideAdmin(c, current, acceptor, nodeStatus, log)
+	adminHandler := provideAdmin(c, current, acceptor, nodeStatus, logger)
 	options := provideMembershipOptions(c, self)
-	membershipManager := membership.New(options, boot, members, locals, client, store, log)
+	membershipManager := membership.New(options, boot, members, locals, client, store, logger)
 	claimsManager := claims.New()
-	peerServer := peer.NewServer(self, boot, log, server, fenceTable, membershipManager, follower, manager, claimsManager)
-	homesManager := homes.New(self, boot, members, current, acceptor, follower, log)
+	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, follower, manager, claimsManager)
+	homesManager := homes.New(self, boot, members, current, acceptor, follower, logger)
 	node := &Node{
 		Config:     c,
-		Log:        log,
+		Log:        logger,
 		Metric:     set,
 		Caller:     handler,
 		Backend:    backendHandler,
--- a/test/script/commands_test.go
+++ b/test/script/commands_test.go
@@ -37,7 +37,8 @@
 //	platform JSON                 the platform's faults
 //	behave NODE SERVICE JSON      what a backend server does
 //	request NODE METHOD PATH [key=K] [idem=I] [body=B] [h:NAME=V]
-//	eventually SECONDS COMMAND..  retry request, journal, metric or run until its output holds WANT: .. -- WANT
+//	eventually SECONDS COMMAND..  retry request, journal, metric, log or run until its output holds WANT: .. -- WANT
+//	log NAME                      a process's log, for eventually
 //	run ARG..                     the command-line tool, for eventually
 //	traffic NAME RATE NODES METHOD PATH [key=..] ..    start traffic
 //	endtraffic NAME               end it and print what came back
@@ -55,7 +56,7 @@
 
 // retryable are the commands that eventually may repeat.
 var retryable = map[string]command{
-	"request": requestCmd, "journal": journalCmd, "metric": metricCmd, "run": runCmd,
+	"request": requestCmd, "journal": journalCmd, "metric": metricCmd, "run": runCmd, "log": logCmd,
 }
 
 func init() {
@@ -427,6 +428,11 @@
 	return "", err
 }
 
+func logCmd(f *fleet, _ *testscript.TestScript, args []string) (string, error) {
+	data, err := os.ReadFile(filepath.Join(f.dir, args[0]+".log"))
+	return string(data), err
+}
+
 func runCmd(_ *fleet, ts *testscript.TestScript, args []string) (string, error) {
 	cmd := exec.Command(filepath.Join(binaries, "comfreycart"), args...)
 	for _, name := range []string{"COMFREYCART_ADMIN", "COMFREYCART_TOKEN"} {
