TLS for callers, operators and peers, with certificates reloaded

Cause: whoever reached the peer listener could run calls as any client account. Change: internal/certs reads files again when they change, hands out handshaken connections and counts refused ones; peers verify each other; the tool takes --ca. Conclusion: with /tls/peer set only nodes reach the peer service. Without it the peer listener must be kept apart by the network, as OPERATING says.

--- a/cmd/comfreycart/diff.go
+++ b/cmd/comfreycart/diff.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return err
 	}
-	now, _, err := c.client().Tree(ctx)
+	now, _, err := c.client.Tree(ctx)
 	if err != nil {
 		return err
 	}
--- a/cmd/comfreycart/item.go
+++ b/cmd/comfreycart/item.go
@@ -28,7 +28,7 @@
 
 // Run sets the item.
 func (c *setCmd) Run(ctx context.Context) error {
-	a, err := c.client().PutItem(ctx, c.Team, c.Section, c.Name, json.RawMessage(c.Value), c.change())
+	a, err := c.client.PutItem(ctx, c.Team, c.Section, c.Name, json.RawMessage(c.Value), c.change())
 	return printAccepted(a, err, c.JSON)
 }
 
@@ -38,7 +38,7 @@
 
 // Run deletes the item.
 func (c *deleteCmd) Run(ctx context.Context) error {
-	a, err := c.client().DeleteItem(ctx, c.Team, c.Section, c.Name, c.change())
+	a, err := c.client.DeleteItem(ctx, c.Team, c.Section, c.Name, c.change())
 	return printAccepted(a, err, c.JSON)
 }
 
--- a/cmd/comfreycart/main.go
+++ b/cmd/comfreycart/main.go
@@ -16,10 +16,20 @@
 type remote struct {
 	Admin string `required:"" env:"COMFREYCART_ADMIN" help:"URL of a node's admin listener."`
 	Token string `required:"" env:"COMFREYCART_TOKEN" help:"Admin token."`
+	CA    string `name:"ca" env:"COMFREYCART_CA" type:"existingfile" help:"PEM file of the authority that signed the admin listener's certificate."`
 	JSON  bool   `name:"json" help:"Print JSON."`
+
+	client *operator.Client
 }
 
-func (r *remote) client() *operator.Client { return operator.New(r.Admin, r.Token) }
+// AfterApply makes the client once the flags are known.
+func (r *remote) AfterApply() error {
+	r.client = operator.New(r.Admin, r.Token)
+	if r.CA == "" {
+		return nil
+	}
+	return r.client.Trust(r.CA)
+}
 
 type cli struct {
 	Check  checkCmd  `cmd:"" help:"Check a settings file without a node."`
--- a/cmd/comfreycart/settings.go
+++ b/cmd/comfreycart/settings.go
@@ -34,17 +34,17 @@
 // Run prints settings as JSON.
 func (c *getCmd) Run(ctx context.Context) error {
 	if c.Team == "" {
-		tree, _, err := c.client().Tree(ctx)
+		tree, _, err := c.client.Tree(ctx)
 		return printOr(tree, err)
 	}
 	if c.Section == "" {
-		team, _, err := c.client().Team(ctx, c.Team)
+		team, _, err := c.client.Team(ctx, c.Team)
 		return printOr(team, err)
 	}
 	if c.Name == "" {
 		return fmt.Errorf("get %s %s: name the item too", c.Team, c.Section)
 	}
-	item, _, err := c.client().Item(ctx, c.Team, c.Section, c.Name)
+	item, _, err := c.client.Item(ctx, c.Team, c.Section, c.Name)
 	return printOr(item, err)
 }
 
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := c.client().PutTree(ctx, tree, change)
+	a, err := c.client.PutTree(ctx, tree, change)
 	return printAccepted(a, err, c.JSON)
 }
 
@@ -79,7 +79,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", c.File, err)
 	}
-	a, err := c.client().PutTeam(ctx, c.Team, team, change)
+	a, err := c.client.PutTeam(ctx, c.Team, team, change)
 	return printAccepted(a, err, c.JSON)
 }
 
--- a/cmd/comfreycart/status.go
+++ b/cmd/comfreycart/status.go
@@ -17,7 +17,7 @@
 
 // Run prints the status.
 func (c *statusCmd) Run(ctx context.Context) error {
-	s, err := c.client().Status(ctx)
+	s, err := c.client.Status(ctx)
 	if err != nil || c.JSON {
 		return printOr(s, err)
 	}
--- a/cmd/comfreycartd/main.go
+++ b/cmd/comfreycartd/main.go
@@ -33,7 +33,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("node", cfg.ID).Logger()
-	return node.New(cfg, node.BaseLog(log)).Run(ctx)
+	n, err := node.New(cfg, node.BaseLog(log))
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
 }
 
 func main() {
--- a/internal/api/message.go
+++ b/internal/api/message.go
@@ -34,7 +34,7 @@
 // secretHeaders may hold a key, or are ours to set.
 var secretHeaders = []string{"Authorization", "Proxy-Authorization", "Cookie"}
 
-// NewServer returns an HTTP/1.1 and h2c server with the limits of every listener.
+// NewServer returns an HTTP/1.1, HTTP/2 and h2c server with the limits of every listener.
 func NewServer(h http.Handler) *http.Server {
 	n := negroni.New(negroni.NewRecovery())
 	n.UseHandler(h)
@@ -47,6 +47,7 @@
 		Protocols:         &http.Protocols{},
 	}
 	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetHTTP2(true)
 	s.Protocols.SetUnencryptedHTTP2(true)
 	return s
 }
--- /dev/null
+++ b/internal/certs/listener.go
@@ -0,0 +1,79 @@
+package certs
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// handshakeTimeout bounds the handshake of a new connection.
+const handshakeTimeout = 5 * time.Second
+
+// Listener hands out connections whose handshake is done; the others it logs and
+// counts, so that a slow or wrong one holds nobody up.
+type Listener struct {
+	net.Listener
+	config  *tls.Config
+	log     zerolog.Logger
+	refused func()
+
+	ready chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+	err   error
+}
+
+// NewListener serves TLS on lis; refused is called for each failed handshake.
+func NewListener(lis net.Listener, s *Source, log zerolog.Logger, refused func()) *Listener {
+	l := &Listener{
+		Listener: lis, config: s.Server(), log: log, refused: refused,
+		ready: make(chan net.Conn), done: make(chan struct{}),
+	}
+	go l.run()
+	return l
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.ready:
+		return c, nil
+	case <-l.done:
+		return nil, l.err
+	}
+}
+
+func (l *Listener) run() {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			l.once.Do(func() {
+				l.err = err
+				close(l.done)
+			})
+			return
+		}
+		go l.handshake(c)
+	}
+}
+
+func (l *Listener) handshake(raw net.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	c := tls.Server(raw, l.config)
+	if err := c.HandshakeContext(ctx); err != nil {
+		l.refused()
+		l.log.Warn().Err(err).Stringer("from", raw.RemoteAddr()).Msg("TLS handshake refused")
+		_ = raw.Close()
+		return
+	}
+	select {
+	case l.ready <- c:
+	case <-l.done:
+		_ = c.Close()
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,10 @@
 	"net/url"
 	"os"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/certs"
 )
 
 // Node is the content of a node's file.
@@ -23,8 +27,11 @@
 	Listen Listen `json:"listen"`
 	// AdvertisePeer is where other nodes reach this one, as IP:port; empty means
 	// the peer listener's address.
-	AdvertisePeer string   `json:"advertisePeer,omitempty"`
-	Platform      Platform `json:"platform"`
+	AdvertisePeer string `json:"advertisePeer,omitempty"`
+	// TLS gives the certificates of the listeners that outsiders reach; one left out
+	// speaks plain TCP.
+	TLS      TLS      `json:"tls,omitzero"`
+	Platform Platform `json:"platform"`
 	// Contacts are peer addresses to join by, beside those in the platform's table.
 	Contacts []string `json:"contacts,omitempty"`
 	// AdminTokenSHA256 is the hex hash of the token that may change everything.
@@ -49,6 +56,14 @@
 	Metrics string `json:"metrics"`
 }
 
+// TLS gives certificates by listener.
+type TLS struct {
+	Caller *certs.Files `json:"caller,omitempty"`
+	Admin  *certs.Files `json:"admin,omitempty"`
+	// Peer needs a CA: nodes accept only nodes that it signed.
+	Peer *certs.Files `json:"peer,omitempty"`
+}
+
 // Platform says how to reach the platform's service.
 type Platform struct {
 	URL string `json:"url"`
@@ -126,7 +141,7 @@
 
 // Validate checks the file; its error is an *Error that names the first fault.
 func (n *Node) Validate() error {
-	checks := []func() error{n.checkNames, n.checkListen, n.checkPlatform, n.checkContacts}
+	checks := []func() error{n.checkNames, n.checkListen, n.checkTLS, n.checkPlatform, n.checkContacts}
 	for _, check := range checks {
 		if err := check(); err != nil {
 			return err
@@ -175,6 +190,27 @@
 	return nil
 }
 
+func (n *Node) checkTLS() error {
+	listeners := []struct {
+		path  string
+		files *certs.Files
+	}{
+		{"/tls/caller", n.TLS.Caller}, {"/tls/admin", n.TLS.Admin}, {"/tls/peer", n.TLS.Peer},
+	}
+	for _, l := range listeners {
+		if l.files == nil {
+			continue
+		}
+		if _, err := certs.NewSource(*l.files, zerolog.Nop()); err != nil {
+			return &Error{l.path, err.Error()}
+		}
+	}
+	if n.TLS.Peer != nil && n.TLS.Peer.CA == "" {
+		return &Error{"/tls/peer/ca", "is required"}
+	}
+	return nil
+}
+
 func (n *Node) checkPlatform() error {
 	u, err := url.Parse(n.Platform.URL)
 	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -157,7 +157,10 @@
 		return err
 	}
 	log := zerolog.New(os.Stderr).Level(d.LogLevel).With().Timestamp().Str("node", cfg.ID).Logger()
-	n := node.New(cfg, node.BaseLog(log))
+	n, err := node.New(cfg, node.BaseLog(log))
+	if err != nil {
+		return err
+	}
 	d.group.Go(func() error { return n.Run(ctx) })
 	d.addrs.Callers = append(d.addrs.Callers, "http://"+addr[0])
 	d.addrs.Admin = append(d.addrs.Admin, "http://"+addr[4])
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"comfreycart.dev/comfreycart/internal/api/backend"
 	"comfreycart.dev/comfreycart/internal/api/caller"
 	"comfreycart.dev/comfreycart/internal/api/egress"
+	"comfreycart.dev/comfreycart/internal/certs"
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
@@ -78,6 +79,10 @@
 	if err != nil {
 		return trace.Wrap(err, "listening at /listen/peer")
 	}
+	peerListener, err = n.secure("peer", peerListener, n.Config.TLS.Peer)
+	if err != nil {
+		return err
+	}
 	n.spawn(func() { _ = n.PeerServer.Serve(ctx, peerListener) })
 	if err := n.listen(); err != nil {
 		return err
@@ -92,19 +97,23 @@
 func (n *Node) listen() error {
 	l := n.Config.Listen
 	listeners := []struct {
-		path, address string
+		name, address string
+		files         *certs.Files
 		handler       http.Handler
 	}{
-		{"/listen/caller", l.Caller, n.Caller},
-		{"/listen/backend", l.Backend, n.Backend.Routes()},
-		{"/listen/egress", l.Egress, n.Egress},
-		{"/listen/admin", l.Admin, n.Admin.Routes()},
-		{"/listen/metrics", l.Metrics, n.metrics()},
+		{"caller", l.Caller, n.Config.TLS.Caller, n.Caller},
+		{"backend", l.Backend, nil, n.Backend.Routes()},
+		{"egress", l.Egress, nil, n.Egress},
+		{"admin", l.Admin, n.Config.TLS.Admin, n.Admin.Routes()},
+		{"metrics", l.Metrics, nil, n.metrics()},
 	}
 	for _, x := range listeners {
 		lis, err := net.Listen("tcp", x.address)
 		if err != nil {
-			return trace.Wrap(err, "listening at %s", x.path)
+			return trace.Wrap(err, "listening at /listen/%s", x.name)
+		}
+		if lis, err = n.secure(x.name, lis, x.files); err != nil {
+			return err
 		}
 		server := api.NewServer(x.handler)
 		n.servers = append(n.servers, server)
@@ -113,6 +122,19 @@
 	return nil
 }
 
+// secure makes a listener speak TLS where it has a certificate.
+func (n *Node) secure(name string, lis net.Listener, files *certs.Files) (net.Listener, error) {
+	if files == nil {
+		return lis, nil
+	}
+	source, err := certs.NewSource(*files, n.Log)
+	if err != nil {
+		return nil, trace.Wrap(err, "/tls/%s", name)
+	}
+	refused := n.Metric.Counter("comfreycart_tls_refused_total", "listener", name)
+	return certs.NewListener(lis, source, n.Log, refused.Inc), nil
+}
+
 func (n *Node) serve(s *http.Server, lis net.Listener) {
 	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
 		n.Log.Error().Err(err).Stringer("address", lis.Addr()).Msg("listener ended")
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -25,8 +25,10 @@
 		},
 		Platform: config.Platform{URL: "http://127.0.0.1:1"},
 	}
+	n, err := New(cfg, BaseLog(zerolog.Nop()))
+	require.NoError(t, err)
 	done := make(chan error, 1)
-	go func() { done <- New(cfg, BaseLog(zerolog.Nop())).Run(context.Background()) }()
+	go func() { done <- n.Run(context.Background()) }()
 	select {
 	case err := <-done:
 		require.ErrorContains(t, err, "/listen/metrics")
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/netip"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"comfreycart.dev/comfreycart/internal/api/admin"
 	"comfreycart.dev/comfreycart/internal/api/backend"
+	"comfreycart.dev/comfreycart/internal/certs"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/entry"
@@ -30,6 +32,18 @@
 	return peer.Source(netip.MustParseAddrPort(c.Listen.Peer).Addr())
 }
 
+// providePeerTLS returns nil where peers speak plain TCP.
+func providePeerTLS(c *config.Node, log zerolog.Logger) (*tls.Config, error) {
+	if c.TLS.Peer == nil {
+		return nil, nil
+	}
+	s, err := certs.NewSource(*c.TLS.Peer, log)
+	if err != nil {
+		return nil, err
+	}
+	return s.Client(), nil
+}
+
 func provideStore(c *config.Node) platform.Store {
 	return platform.NewClient(c.Platform.URL, c.PlatformTimeout())
 }
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -24,12 +24,12 @@
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
-// New puts a node together; Run starts it.
-func New(c *config.Node, log BaseLog) *Node {
+// New puts a node together; Run starts it. It fails if a certificate cannot be read.
+func New(c *config.Node, log BaseLog) (*Node, error) {
 	wire.Build(
 		wire.Struct(new(Node), "Config", "Log", "Metric", "Caller", "Backend", "Egress", "Admin",
 			"PeerServer", "PeerClient", "Follower", "Membership", "Homes", "Fences", "Server"),
-		provideLog, provideSelf, provideSource, provideStore, provideFollower, provideAcceptor, provideMembershipOptions,
+		provideLog, provideSelf, provideSource, providePeerTLS, provideStore, provideFollower, provideAcceptor, provideMembershipOptions,
 		provideBackend, provideAdmin, provideStatus,
 		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
 		wire.Struct(new(settingsync.Current)),
@@ -51,5 +51,5 @@
 		wire.Bind(new(peer.ShareHome), new(*shares.Manager)),
 		wire.Bind(new(peer.ClaimHome), new(*claims.Manager)),
 	)
-	return nil
+	return nil, nil
 }
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -27,8 +27,8 @@
 
 // Injectors from wire.go:
 
-// New puts a node together; Run starts it.
-func New(c *config.Node, log BaseLog) *Node {
+// New puts a node together; Run starts it. It fails if a certificate cannot be read.
+func New(c *config.Node, log BaseLog) (*Node, error) {
 	current := &settingsync.Current{}
 	logger := provideLog(log, current)
 	set := metric.NewSet()
@@ -39,7 +39,11 @@
 	self := provideSelf(c)
 	endpoints := table.NewEndpoints(boot)
 	source := provideSource(c)
-	client := peer.NewClient(boot, source)
+	tlsConfig, err := providePeerTLS(c, logger)
+	if err != nil {
+		return nil, err
+	}
+	client := peer.NewClient(boot, source, tlsConfig)
 	calls := table.NewCalls()
 	locals := table.NewLocals()
 	fenceTable := fence.New(boot)
@@ -74,5 +78,5 @@
 		Fences:     fenceTable,
 		Server:     server,
 	}
-	return node
+	return node, nil
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -4,11 +4,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/api/admin"
@@ -43,6 +46,21 @@
 	return &Client{base: base, token: token, http: &http.Client{Timeout: timeout}}
 }
 
+// Trust makes the client accept servers whose certificate the authority in the PEM
+// file signed. It must be called before the first request.
+func (c *Client) Trust(file string) error {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return fmt.Errorf("%s holds no certificate", file)
+	}
+	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}}
+	return nil
+}
+
 // Change says under which conditions a change is to be made; both parts are optional.
 type Change struct {
 	// ID makes resubmissions one change.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/netip"
 	"time"
@@ -33,6 +34,7 @@
 type Client struct {
 	clock  clock.Clock
 	dialer *net.Dialer
+	tls    *tls.Config
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 }
 
@@ -40,13 +42,13 @@
 // leaves it to the system.
 type Source netip.Addr
 
-// NewClient returns a client without connections.
-func NewClient(c clock.Clock, source Source) *Client {
+// NewClient returns a client without connections; secure is nil for plain TCP.
+func NewClient(c clock.Clock, source Source, secure *tls.Config) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	if ip := netip.Addr(source); ip.IsValid() && !ip.IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))
 	}
-	return &Client{clock: c, dialer: dialer, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+	return &Client{clock: c, dialer: dialer, tls: secure, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  idleExpiry,
 		Capacity:    idleInAll,
 		KeyCapacity: idlePerPeer,
@@ -113,6 +115,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.tls != nil {
+		secured := tls.Client(raw, c.tls)
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		raw = secured
+	}
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
--- a/test/script/commands_test.go
+++ b/test/script/commands_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +19,7 @@
 
 	"comfreycart.dev/comfreycart/internal/operator"
 	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/test/pki"
 	"comfreycart.dev/comfreycart/test/standin/backend"
 )
 
@@ -27,7 +29,7 @@
 
 // commands are ours besides the built-in ones:
 //
-//	fleet DEPLOYMENT N            start the platform and N nodes, apply the example, set $KEY_account
+//	fleet DEPLOYMENT N [tls]      start the platform and N nodes, apply the example, set $KEY_account
 //	addnode                       start one more node
 //	backend NODE SERVICE [FLAG..] start a backend server
 //	ready ENDPOINTS NODE..        wait until the nodes see so many endpoints
@@ -45,13 +47,14 @@
 //	journal NODE SERVICE          print what a backend server ran
 //	metric NODE PATTERN           print matching metric lines
 //	withdraw NODE TEAM ACCOUNT    withdraw the account's key
+//	plain NODE                    talk to the peer listener without TLS
 //	sleep SECONDS
 var commands = wrap(map[string]command{
 	"fleet": fleetCmd, "addnode": addNodeCmd, "backend": backendCmd, "ready": readyCmd,
 	"start": startCmd, "kill": killCmd, "freeze": freezeCmd, "thaw": thawCmd, "stop": stopCmd,
 	"cut": cutCmd, "heal": healCmd, "platform": platformCmd, "behave": behaveCmd,
 	"request": requestCmd, "traffic": trafficCmd, "endtraffic": endTrafficCmd,
-	"journal": journalCmd, "metric": metricCmd, "withdraw": withdrawCmd, "sleep": sleepCmd,
+	"journal": journalCmd, "metric": metricCmd, "withdraw": withdrawCmd, "sleep": sleepCmd, "plain": plainCmd,
 })
 
 // retryable are the commands that eventually may repeat.
@@ -103,11 +106,16 @@
 	if err != nil {
 		return "", err
 	}
+	if len(args) > 2 && args[2] == "tls" {
+		if f.pki, err = pki.New(f.dir, "ca"); err != nil {
+			return "", err
+		}
+		ts.Setenv("COMFREYCART_CA", f.caFile())
+	}
 	if err := f.start(args[0], n); err != nil {
 		return "", err
 	}
-	ts.Setenv("ADMIN", "http://"+f.addr(0, portAdmin))
-	ts.Setenv("COMFREYCART_ADMIN", "http://"+f.addr(0, portAdmin))
+	ts.Setenv("COMFREYCART_ADMIN", f.scheme()+f.addr(0, portAdmin))
 	ts.Setenv("COMFREYCART_TOKEN", adminToken)
 	file := examplesDir() + "/" + f.deployment + ".json"
 	if own := ts.MkAbs("settings.json"); exists(own) {
@@ -316,7 +324,7 @@
 	if err != nil {
 		return "", err
 	}
-	q.url = "http://" + n.Listen.Caller
+	q.url = f.scheme() + n.Listen.Caller
 	out, err := q.send()
 	if err != nil {
 		return "", err
@@ -336,7 +344,7 @@
 		if err != nil {
 			return "", err
 		}
-		urls = append(urls, "http://"+n.Listen.Caller)
+		urls = append(urls, f.scheme()+n.Listen.Caller)
 	}
 	q, err := f.parseRequest(args[3:])
 	if err != nil {
@@ -442,6 +450,20 @@
 	return string(out), err
 }
 
+func plainCmd(f *fleet, _ *testscript.TestScript, args []string) (string, error) {
+	n, err := f.node(args[0])
+	if err != nil {
+		return "", err
+	}
+	c, err := net.Dial("tcp", n.Listen.Peer)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_, err = io.WriteString(c, "not a handshake, but long enough to be read as one\n")
+	return "", err
+}
+
 func sleepCmd(_ *fleet, _ *testscript.TestScript, args []string) (string, error) {
 	seconds, err := strconv.ParseFloat(args[0], 64)
 	time.Sleep(time.Duration(seconds * float64(time.Second)))
--- a/test/script/fleet_test.go
+++ b/test/script/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -13,9 +14,11 @@
 	"syscall"
 	"time"
 
+	"comfreycart.dev/comfreycart/internal/certs"
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/operator"
 	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/test/pki"
 )
 
 const (
@@ -52,7 +55,9 @@
 	lock   net.Listener
 	// direct leaves the links out, for measurements.
 	direct bool
-	links  *links
+	// pki, if set, signs a certificate for each node's listeners.
+	pki   *pki.Authority
+	links *links
 
 	mu         sync.Mutex
 	deployment string
@@ -188,6 +193,13 @@
 		cfg.AdvertisePeer = ""
 		cfg.Contacts = []string{f.addr(0, portPeer)}
 	}
+	if f.pki != nil {
+		files, err := f.pki.Sign(name+"-cert", time.Now().Add(time.Hour), net.ParseIP(ip))
+		if err != nil {
+			return err
+		}
+		cfg.TLS = config.TLS{Caller: withoutCA(files), Admin: withoutCA(files), Peer: files}
+	}
 	f.mu.Lock()
 	f.nodes[name] = cfg
 	f.mu.Unlock()
@@ -201,6 +213,18 @@
 	return f.startNode(name)
 }
 
+func withoutCA(f *certs.Files) *certs.Files { return &certs.Files{Cert: f.Cert, Key: f.Key} }
+
+// scheme is how the callers' and the admin listeners are spoken to.
+func (f *fleet) scheme() string {
+	if f.pki != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
+func (f *fleet) caFile() string { return filepath.Join(f.dir, "ca.pem") }
+
 func (f *fleet) nodeFile(name string) string { return filepath.Join(f.dir, name+".json") }
 
 func (f *fleet) startNode(name string) error {
@@ -221,7 +245,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return operator.New("http://"+n.Listen.Admin, adminToken), nil
+	c := operator.New(f.scheme()+n.Listen.Admin, adminToken)
+	if f.pki != nil {
+		return c, c.Trust(f.caFile())
+	}
+	return c, nil
 }
 
 // startBackend starts a backend server beside a node.
@@ -288,4 +316,11 @@
 	return nil
 }
 
-var client = &http.Client{Timeout: 30 * time.Second}
+// client calls nodes and stand-ins; who signed a node's certificate is not its matter.
+var client = &http.Client{
+	Timeout: 30 * time.Second,
+	Transport: &http.Transport{
+		TLSClientConfig:   &tls.Config{InsecureSkipVerify: true},
+		ForceAttemptHTTP2: true,
+	},
+}
