--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 
 	"comfreycart.dev/comfreycart/internal/api"
 	"comfreycart.dev/comfreycart/internal/api/admin"
@@ -33,6 +34,8 @@
 	// leaveNotice is how long a leaving node still serves callers, so that they and
 	// the other nodes turn elsewhere first.
 	leaveNotice = 300 * time.Millisecond
+	// maxConnections bounds the open connections of each listener.
+	maxConnections = 16384
 )
 
 // Node is one node. Its fields are provided by wire.
@@ -79,6 +82,7 @@
 	if err != nil {
 		return trace.Wrap(err, "listening at /listen/peer")
 	}
+	peerListener = netutil.LimitListener(peerListener, maxConnections)
 	peerListener, err = n.secure("peer", peerListener, n.Config.TLS.Peer)
 	if err != nil {
 		return err
@@ -112,6 +116,7 @@
 		if err != nil {
 			return trace.Wrap(err, "listening at /listen/%s", x.name)
 		}
+		lis = netutil.LimitListener(lis, maxConnections)
 		if lis, err = n.secure(x.name, lis, x.files); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/peer/convert_test.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+)
+
+func sample() *call.Call {
+	return &call.Call{
+		ID: call.NewID(), Account: "a", Service: "s", Route: "r", Priority: call.Critical,
+		Idempotent: true, Deadline: clock.Time(3 * time.Second), Allowance: 2, Depth: 4,
+		Spent: time.Millisecond, AnswerLimit: 9,
+		Request: &call.Request{
+			Method: "GET", Path: "/p", RawQuery: "q=1",
+			Header: http.Header{"X": {"1", "2"}}, Body: []byte("body"),
+		},
+	}
+}
+
+func TestCallSurvivesTheWire(t *testing.T) {
+	c := sample()
+	got := callFromProto(callToProto(c, clock.Time(time.Second), 7), clock.Time(time.Second))
+	require.Equal(t, c, got)
+}
+
+func TestReplyToAnotherCallIsRefused(t *testing.T) {
+	mine, other := call.NewID(), call.NewID()
+	reply := resultToProto(other, call.Result{Answer: &call.Answer{Status: 200}})
+	_, ok := resultFromProto(mine, reply, 0)
+	require.False(t, ok)
+	_, ok = resultFromProto(mine, resultToProto(mine, call.Result{}), 0)
+	require.False(t, ok, "neither answer nor failure")
+	_, ok = resultFromProto(mine, &peerpb.CallReply{Id: []byte{1}}, 0)
+	require.False(t, ok, "malformed ID")
+}
+
+func TestUnusedAllowanceIsBounded(t *testing.T) {
+	id := call.NewID()
+	r, ok := resultFromProto(id, resultToProto(id, call.Result{Answer: &call.Answer{Status: 200}, Unused: 99}), 2)
+	require.True(t, ok)
+	require.Equal(t, 2, r.Unused)
+}
+
+// FuzzCallFromProto checks that no message from a peer makes the node panic.
+func FuzzCallFromProto(f *testing.F) {
+	whole, err := proto.Marshal(callToProto(sample(), 0, 1))
+	require.NoError(f, err)
+	f.Add(whole)
+	f.Add(whole[:len(whole)/2])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var p peerpb.CallRequest
+		if proto.Unmarshal(data, &p) != nil {
+			return
+		}
+		c := callFromProto(&p, 0)
+		if c != nil {
+			require.Less(t, c.Priority, call.Priorities)
+			require.NotNil(t, c.Request)
+		}
+	})
+}
