Members kept by probes, suspicion and gossiped changes instead of whole tables

Cause: every node sent its whole table to every member each 250 ms, which grows with the square of the fleet. Change: one probe a period in a shuffled round, indirect probes, suspicion with refutation by a higher sequence, changes passed on a bounded number of times within a byte budget, fresh ones pushed at once, and bucket digests to find and mend differences. A service whose nodes all look dead keeps its endpoints. Rows of the gone are deleted by a few members under a condition on the row's version.

--- /dev/null
+++ b/internal/decide/gossip/config.go
@@ -0,0 +1,87 @@
+// Package gossip decides how a node keeps its table of members: whom to probe, what
+// to pass on, whom to suspect, and where two tables differ. It does no I/O; clock
+// and randomness are passed in.
+//
+// A Machine is not safe for concurrent use.
+package gossip
+
+import (
+	"math"
+	"time"
+
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+// Times of the protocol.
+const (
+	// Period is the mean time between two probes of one node.
+	Period = 500 * time.Millisecond
+	// DirectTimeout bounds a direct probe; it exceeds two round trips between regions.
+	DirectTimeout = 300 * time.Millisecond
+	// IndirectTimeout bounds the probes through Helpers others.
+	IndirectTimeout = 700 * time.Millisecond
+	// suspicionPeriods times the decimal logarithm of the fleet's size is how many
+	// periods a suspected member has to object.
+	suspicionPeriods = 4
+	// reviveInterval is the time between two probes of members believed dead, and of
+	// contacts.
+	reviveInterval = 2 * time.Second
+	// pushInterval is the least time between two pushes of fresh changes.
+	pushInterval = 200 * time.Millisecond
+	// pushBytesPerSecond bounds pushes while many members change at once.
+	pushBytesPerSecond = 3 << 10
+	// compareInterval is the least time between two comparisons of tables.
+	compareInterval = 10 * time.Second
+	// joinInterval replaces compareInterval until the first equal comparison.
+	joinInterval = 250 * time.Millisecond
+	// KeepGone is how long the record of a dead or left member is kept, so that an
+	// older record of it is known to be old.
+	KeepGone = 24 * time.Hour
+	// sweepInterval is the time between two searches for ended records.
+	sweepInterval = time.Minute
+	// pausedAfter is the time between two ticks that shows that this node was paused.
+	pausedAfter = 4 * Period
+)
+
+// Numbers and sizes of the protocol.
+const (
+	// Helpers is the number of members that probe for another.
+	Helpers = 3
+	// fanout is the number of members that a fresh change is pushed to.
+	fanout = 3
+	// leaveFanout is the number of members that a leaving node tells itself.
+	leaveFanout = 8
+	// messageBytes bounds the changes in one probe, reply or push.
+	messageBytes = 900
+	// compareBytes and joinBytes bound the records in one reply to a comparison.
+	compareBytes = 8 << 10
+	joinBytes    = 96 << 10
+	// maxContacts bounds the addresses to join by.
+	maxContacts = 64
+	// healthMax bounds how much a node that misses answers itself doubts its own link.
+	healthMax = 8
+	// recordBytes, goneBytes and endpointBytes are sizes of records without their
+	// strings.
+	recordBytes   = 32
+	goneBytes     = 32
+	endpointBytes = 20
+)
+
+// suspicionTime is how long a member stays suspected in a fleet of n before it
+// counts as dead; a node that misses many answers waits longer.
+func suspicionTime(n, health int) time.Duration {
+	scale := math.Max(1, math.Log10(float64(n)))
+	return time.Duration(suspicionPeriods * scale * float64(Period) * float64(1+health))
+}
+
+// recordSize estimates the encoded size of a record in bytes.
+func recordSize(m *table.Member) int {
+	if !m.Usable() {
+		return goneBytes + len(m.ID) + len(m.Address)
+	}
+	n := recordBytes + len(m.ID) + len(m.Address) + len(m.Domain)
+	for _, e := range m.Endpoints {
+		n += endpointBytes + len(e.Service)
+	}
+	return n
+}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -36,7 +36,7 @@
 		wire.Struct(new(settingsync.Current)),
 		metric.NewSet,
 		table.NewCalls, table.NewLocals, table.NewMembers, table.NewEndpoints,
-		homes.New, fence.New, serve.New, dispatch.New, membership.New, shares.New, claims.New,
+		homes.New, fence.New, serve.New, dispatch.New, membership.New, membership.NewTransport, shares.New, claims.New,
 		entry.New, caller.New, egress.New,
 		peer.NewClient, peer.NewServer,
 		wire.Bind(new(admin.StatusSource), new(*status)),
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -10,6 +10,9 @@
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
+// maxAgeMs bounds the age of a record that a peer may claim: a year.
+const maxAgeMs = 366 * 24 * 3600 * 1000
+
 func callToProto(c *call.Call, now clock.Time, incarnation uint64) *peerpb.CallRequest {
 	return &peerpb.CallRequest{
 		Id:               c.ID[:],
@@ -144,7 +147,7 @@
 }
 
 // MemberToProto turns a member's record into its message.
-func MemberToProto(m table.Member) *peerpb.Member {
+func MemberToProto(m table.Member, now clock.Time) *peerpb.Member {
 	p := &peerpb.Member{
 		Id:          m.ID,
 		Incarnation: m.Incarnation,
@@ -153,6 +156,11 @@
 		Domain:      m.Domain,
 		State:       string(m.State),
 	}
+	if !m.Usable() {
+		p.AgeMs = uint64(max(now.Sub(m.Changed), 0).Milliseconds())
+		p.Domain = ""
+		return p
+	}
 	for _, e := range m.Endpoints {
 		p.Endpoints = append(p.Endpoints, &peerpb.Endpoint{
 			Service:     e.Service,
@@ -165,7 +173,7 @@
 }
 
 // MemberFromProto turns a message into a member's record.
-func MemberFromProto(p *peerpb.Member) table.Member {
+func MemberFromProto(p *peerpb.Member, now clock.Time) table.Member {
 	m := table.Member{
 		ID:          p.GetId(),
 		Incarnation: p.GetIncarnation(),
@@ -174,6 +182,9 @@
 		Domain:      p.GetDomain(),
 		State:       table.MemberState(p.GetState()),
 	}
+	if !m.Usable() {
+		m.Changed = now.Add(-time.Duration(min(p.GetAgeMs(), maxAgeMs)) * time.Millisecond)
+	}
 	for _, e := range p.GetEndpoints() {
 		m.Endpoints = append(m.Endpoints, table.MemberEndpoint{
 			Service:     e.Service,
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -1,50 +1,51 @@
 // Package membership keeps the table of members: who is there, which backend
-// servers are beside them, and who has gone.
+// servers are beside them, and who has gone. What to do is decided by package
+// gossip; this package sends, listens, and keeps the rows in the platform's table.
 package membership
 
 import (
 	"context"
-	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"comfreycart.dev/comfreycart/internal/clock"
-	"comfreycart.dev/comfreycart/internal/peer"
-	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+	"comfreycart.dev/comfreycart/internal/decide/gossip"
+	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/platform"
 	"comfreycart.dev/comfreycart/internal/system/dispatch"
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
 const (
-	exchangeInterval = 250 * time.Millisecond
-	exchangeTimeout  = 500 * time.Millisecond
-	suspectAfter     = 2 * time.Second
-	// announceTimeout drops a backend server that no longer announces itself.
-	announceTimeout = 3 * time.Second
-	registerRetry   = time.Second
+	// localInterval is the time between two looks at this VM's backend servers.
+	localInterval = 50 * time.Millisecond
+	// jitterPart is how much a period is varied, as a part of it.
+	jitterPart = 0.2
 )
 
-// Manager runs the membership of this node.
+// Manager runs the membership of this node. It is safe for concurrent use.
 type Manager struct {
 	self       dispatch.Self
 	address    string
 	deployment string
-	contacts   []string
 	clock      clock.Clock
 	members    *table.Members
+	endpoints  *table.Endpoints
 	locals     *table.Locals
-	client     *peer.Client
+	transport  Transport
 	store      platform.Store
 	log        zerolog.Logger
 
-	mu       sync.Mutex
-	sequence uint64
-	told     uint64
-	left     bool
-	silent   map[string]clock.Time
+	mu      sync.Mutex
+	machine *gossip.Machine
+	told    uint64
+
+	// cleaned holds, by member, in which turn this node last deleted its row; only
+	// keepRow uses it.
+	cleaned map[string]int
 }
 
 // Options are what a Manager needs to know of its own node.
@@ -56,226 +57,125 @@
 }
 
 // New returns a manager that has not yet joined.
-func New(o Options, c clock.Clock, members *table.Members, locals *table.Locals, client *peer.Client, store platform.Store, log zerolog.Logger) *Manager {
-	return &Manager{
-		self: o.Self, address: o.Address, deployment: o.Deployment, contacts: o.Contacts,
-		clock: c, members: members, locals: locals, client: client, store: store, log: log,
-		silent: map[string]clock.Time{},
+func New(o Options, c clock.Clock, members *table.Members, endpoints *table.Endpoints, locals *table.Locals,
+	t Transport, store platform.Store, set *metric.Set, log zerolog.Logger) *Manager {
+	m := &Manager{
+		self: o.Self, address: o.Address, deployment: o.Deployment, clock: c, members: members,
+		endpoints: endpoints, locals: locals, transport: t, store: store, log: log,
+		cleaned: map[string]int{},
+		machine: gossip.New(gossip.Config{
+			ID: o.Self.ID, Incarnation: o.Self.Incarnation, Address: o.Address, Domain: o.Self.Domain,
+			Contacts: o.Contacts,
+		}, c, members, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+	}
+	m.gauges(set)
+	return m
+}
+
+// gauges registers what an operator needs to see of the membership.
+func (m *Manager) gauges(set *metric.Set) {
+	read := func(f func(*gossip.Machine) int) func() float64 {
+		return func() float64 {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return float64(f(m.machine))
+		}
 	}
+	set.Gauge("comfreycart_members", read((*gossip.Machine).Live), "state", "usable")
+	set.Gauge("comfreycart_members", read((*gossip.Machine).Suspects), "state", "suspect")
+	set.Gauge("comfreycart_members", read((*gossip.Machine).Gone), "state", "gone")
+	set.Gauge("comfreycart_membership_missed_answers", read((*gossip.Machine).Health))
 }
 
-// row is a member's record in the platform's table, for bootstrap only.
-type row struct {
-	Address string `json:"address"`
-	Domain  string `json:"domain"`
-}
-
-func (m *Manager) rowKey(id string) string { return "member/" + m.deployment + "/" + id }
-
-// Run joins and exchanges views until ctx ends.
+// Run joins and gossips until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
-	m.publish(true)
-	go m.register(ctx)
-	tick := time.NewTicker(exchangeInterval)
-	defer tick.Stop()
+	go m.keepRow(ctx)
+	go m.watchLocals(ctx)
+	wait := time.NewTimer(0)
+	defer wait.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-wait.C:
 			m.Tick(ctx)
+			wait.Reset(period())
 		}
 	}
 }
 
-// Tick refreshes this node's own record and starts one round of exchanges.
-func (m *Manager) Tick(ctx context.Context) {
-	m.locals.Expire(m.clock.Now().Add(-announceTimeout))
-	m.publish(false)
-	for _, address := range m.targets() {
-		go m.exchange(ctx, address)
-	}
-	m.judge()
+func period() time.Duration {
+	spread := 1 + jitterPart*(2*rand.Float64()-1)
+	return time.Duration(spread * float64(gossip.Period))
 }
 
-// Leave tells the others that this node takes no more work.
-func (m *Manager) Leave(ctx context.Context) {
+// Tick runs one period of the protocol; its messages go on in the background.
+func (m *Manager) Tick(ctx context.Context) {
+	for _, id := range m.endpoints.Rested() {
+		m.members.Refresh(id)
+	}
 	m.mu.Lock()
-	m.left = true
+	round := m.machine.Tick()
 	m.mu.Unlock()
-	m.publish(true)
-	for _, address := range m.targets() {
-		m.exchange(ctx, address)
+	if round.Probe.Address != "" {
+		go m.probe(ctx, round.Probe)
+	}
+	if round.Revive.Address != "" {
+		go m.revive(ctx, round.Revive)
 	}
-	_ = m.store.Transact(ctx, platform.Tx{Writes: []platform.Write{{Key: m.rowKey(m.self.ID), Delete: true}}})
+	if round.Compare.Address != "" {
+		go m.compare(ctx, round.Compare)
+	}
+	m.push(ctx)
 }
 
-// register writes the bootstrap row and reads the others' until both worked.
-func (m *Manager) register(ctx context.Context) {
-	value, _ := json.Marshal(row{m.address, m.self.Domain})
-	for ctx.Err() == nil {
-		err := m.store.Transact(ctx, platform.Tx{Writes: []platform.Write{{Key: m.rowKey(m.self.ID), Value: value}}})
-		if err == nil {
-			err = m.readContacts(ctx)
-		}
-		if err == nil {
-			return
-		}
-		m.log.Warn().Err(err).Msg("not registered at the platform yet")
+// watchLocals passes on what this VM's backend servers announce, and that they fell
+// silent, until ctx ends.
+func (m *Manager) watchLocals(ctx context.Context) {
+	tick := time.NewTicker(localInterval)
+	defer tick.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(registerRetry):
-		}
-	}
-}
-
-func (m *Manager) readContacts(ctx context.Context) error {
-	rows, err := m.store.Scan(ctx, m.rowKey(""))
-	if err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, r := range rows {
-		var x row
-		if json.Unmarshal(r.Value, &x) == nil && x.Address != m.address {
-			m.contacts = append(m.contacts, x.Address)
+			return
+		case <-tick.C:
+			m.locals.Expire(m.clock.Now().Add(-table.HeartbeatTimeout))
+			m.publish(ctx)
 		}
 	}
-	return nil
 }
 
-// publish renews this node's own record if its backend servers changed or force is set.
-func (m *Manager) publish(force bool) {
+// publish renews this node's own record if its backend servers changed.
+func (m *Manager) publish(ctx context.Context) {
 	locals, changes := m.locals.All()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !force && changes == m.told {
+	if changes == m.told {
+		m.mu.Unlock()
+		m.push(ctx)
 		return
 	}
 	m.told = changes
-	m.sequence++
-	self := table.Member{
-		ID: m.self.ID, Incarnation: m.self.Incarnation, Sequence: m.sequence,
-		Address: m.address, Domain: m.self.Domain, State: table.Alive,
-	}
-	if m.left {
-		self.State = table.Left
-	}
-	for _, l := range locals {
-		self.Endpoints = append(self.Endpoints, table.MemberEndpoint{
+	endpoints := make([]table.MemberEndpoint, len(locals))
+	for i, l := range locals {
+		endpoints[i] = table.MemberEndpoint{
 			Service: l.Service, Slots: l.Slots, Connections: l.Connections, State: l.State,
-		})
-	}
-	m.members.Merge(self)
-}
-
-// targets returns the addresses to exchange views with.
-func (m *Manager) targets() []string {
-	seen := map[string]bool{m.address: true}
-	var out []string
-	add := func(address string) {
-		if !seen[address] {
-			seen[address] = true
-			out = append(out, address)
 		}
 	}
-	for _, x := range m.members.All() {
-		if x.State != table.Left {
-			add(x.Address)
-		}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, c := range m.contacts {
-		add(c)
-	}
-	return out
-}
-
-func (m *Manager) exchange(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	reply, err := m.client.To(ctx, address).Sync(ctx, &peerpb.SyncRequest{Members: m.view()})
-	if err != nil {
-		m.noteSilent(address)
-		return
-	}
-	m.noteHeard(address)
-	m.take(reply.Members)
-}
-
-func (m *Manager) noteSilent(address string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if _, ok := m.silent[address]; !ok {
-		m.silent[address] = m.clock.Now()
-	}
-}
-
-func (m *Manager) noteHeard(address string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.silent, address)
-}
-
-// judge marks members that have been silent for long as dead.
-func (m *Manager) judge() {
-	limit := m.clock.Now().Add(-suspectAfter)
-	for _, x := range m.members.All() {
-		m.mu.Lock()
-		since, silent := m.silent[x.Address]
-		m.mu.Unlock()
-		if silent && since.Before(limit) && x.State == table.Alive {
-			x.State = table.Dead
-			m.members.Merge(x)
-		}
-	}
-}
-
-func (m *Manager) view() []*peerpb.Member {
-	all := m.members.All()
-	out := make([]*peerpb.Member, len(all))
-	for i, x := range all {
-		out[i] = peer.MemberToProto(x)
-	}
-	return out
-}
-
-// take merges others' records; a false one of this node is outbid.
-func (m *Manager) take(members []*peerpb.Member) {
-	for _, p := range members {
-		x := peer.MemberFromProto(p)
-		if x.ID == m.self.ID {
-			m.refute(x)
-			continue
-		}
-		m.members.Merge(x)
-	}
+	m.machine.SetEndpoints(endpoints)
+	m.mu.Unlock()
+	m.push(ctx)
 }
 
-func (m *Manager) refute(x table.Member) {
+// Leave tells the others that this node takes no more work, and deletes its row.
+func (m *Manager) Leave(ctx context.Context) {
 	m.mu.Lock()
-	wrong := x.Incarnation == m.self.Incarnation && x.State != table.Alive && x.Sequence >= m.sequence && !m.left
-	if wrong {
-		m.sequence = x.Sequence
-	}
+	m.machine.Leave()
+	parcels := m.machine.PushLeave()
 	m.mu.Unlock()
-	if wrong {
-		m.publish(true)
+	var wg sync.WaitGroup
+	for _, p := range parcels {
+		wg.Go(func() { m.send(ctx, p) })
 	}
-}
-
-// HandleSync implements peer.Syncer.
-func (m *Manager) HandleSync(_ context.Context, req *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
-	m.take(req.Members)
-	return &peerpb.SyncReply{Members: m.view()}, nil
-}
-
-// HandleProbe implements peer.Syncer.
-func (m *Manager) HandleProbe(ctx context.Context, req *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	_, err := m.client.To(ctx, req.Address).Sync(ctx, &peerpb.SyncRequest{})
-	return &peerpb.ProbeReply{Reached: err == nil}, nil
+	wg.Go(func() { m.deleteOwnRow(ctx) })
+	wg.Wait()
 }
--- /dev/null
+++ b/internal/system/membership/rows.go
@@ -0,0 +1,178 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"comfreycart.dev/comfreycart/internal/platform"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+const (
+	// registerRetry is the time between two tries to write the own row.
+	registerRetry = time.Second
+	// joinRetry is the time between two reads of the rows while no member is known.
+	joinRetry = 5 * time.Second
+	// maxContacts bounds the contacts taken from the rows.
+	maxContacts = 16
+	// cleanInterval is the time between two looks for rows of dead members.
+	cleanInterval = 30 * time.Second
+	// cleanAfter is how long a member is dead before its row is deleted; it exceeds
+	// a cut of an hour between regions.
+	cleanAfter = 2 * time.Hour
+	// cleanersPerRow is how many members at the most try to delete one row.
+	cleanersPerRow = 3
+	// cleanRetry is the time after which other members try to delete the same row.
+	cleanRetry = time.Hour
+	// cleansPerRound bounds the rows that one node deletes in one cleanInterval.
+	cleansPerRound = 8
+)
+
+// row is a member's record in the platform's table, for bootstrap only.
+type row struct {
+	Address     string `json:"address"`
+	Domain      string `json:"domain"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+func (m *Manager) rowKey(id string) string { return "member/" + m.deployment + "/" + id }
+
+// keepRow writes the own row, reads others' to join by, and cleans up, until ctx ends.
+func (m *Manager) keepRow(ctx context.Context) {
+	for m.register(ctx) != nil || m.readContacts(ctx) != nil {
+		if !pause(ctx, registerRetry) {
+			return
+		}
+	}
+	for pause(ctx, joinRetry) && m.alone() {
+		_ = m.readContacts(ctx)
+	}
+	for pause(ctx, cleanInterval) {
+		m.clean(ctx)
+	}
+}
+
+// pause waits for about d; it reports false once ctx has ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d/2 + time.Duration(rand.Int64N(int64(d)))):
+		return true
+	}
+}
+
+func (m *Manager) alone() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Alone()
+}
+
+func (m *Manager) register(ctx context.Context) error {
+	value, err := json.Marshal(row{m.address, m.self.Domain, m.self.Incarnation})
+	if err != nil {
+		return err
+	}
+	err = m.store.Transact(ctx, platform.Tx{Writes: []platform.Write{{Key: m.rowKey(m.self.ID), Value: value}}})
+	if err != nil {
+		m.log.Warn().Err(err).Msg("not registered at the platform yet")
+	}
+	return err
+}
+
+// readContacts takes a few members from the rows to join by.
+func (m *Manager) readContacts(ctx context.Context) error {
+	rows, err := m.store.Scan(ctx, m.rowKey(""))
+	if err != nil {
+		return err
+	}
+	rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+	var contacts []string
+	for _, r := range rows {
+		var x row
+		if len(contacts) < maxContacts && json.Unmarshal(r.Value, &x) == nil && x.Address != "" {
+			contacts = append(contacts, x.Address)
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.machine.AddContacts(contacts)
+	return nil
+}
+
+func (m *Manager) deleteOwnRow(ctx context.Context) {
+	if err := m.deleteRow(ctx, m.self.ID, m.self.Incarnation); err != nil {
+		m.log.Warn().Err(err).Msg("own row not deleted")
+	}
+}
+
+// deleteRow deletes a member's row unless a newer incarnation has written it.
+func (m *Manager) deleteRow(ctx context.Context, id string, incarnation uint64) error {
+	key := m.rowKey(id)
+	r, err := m.store.Get(ctx, key)
+	if platform.IsKind(err, platform.NotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var x row
+	if json.Unmarshal(r.Value, &x) == nil && x.Incarnation > incarnation {
+		return nil
+	}
+	err = m.store.Transact(ctx, platform.Tx{
+		Conditions: []platform.Condition{{Key: key, Version: r.Version}},
+		Writes:     []platform.Write{{Key: key, Delete: true}},
+	})
+	if platform.IsKind(err, platform.Conflict) {
+		return nil
+	}
+	return err
+}
+
+// clean deletes the rows of a few members that are gone for long. Left members'
+// rows are included: they may have had no platform to delete them at.
+func (m *Manager) clean(ctx context.Context) {
+	m.mu.Lock()
+	gone := m.machine.GoneFor(cleanAfter)
+	live := m.machine.Live()
+	m.mu.Unlock()
+	done := 0
+	for _, r := range gone {
+		turn := int(m.clock.Now().Sub(r.Changed) / cleanRetry)
+		if done == cleansPerRound || m.cleaned[r.ID] == turn || !m.cleans(r.ID, turn, live) {
+			continue
+		}
+		done++
+		m.cleaned[r.ID] = turn
+		if err := m.deleteRow(ctx, r.ID, r.Incarnation); err != nil {
+			m.log.Warn().Err(err).Str("member", r.ID).Msg("row of a gone member not deleted")
+		}
+	}
+	m.forgetCleaned(gone)
+}
+
+// cleans draws a few of the live members for each row and turn, without a scan of them.
+func (m *Manager) cleans(id string, turn, live int) bool {
+	h := xxhash.Sum64String(fmt.Sprintf("%s\x00%s\x00%d", id, m.self.ID, turn))
+	return h%uint64(max(live, 1)) < cleanersPerRow
+}
+
+// forgetCleaned drops the notes on members whose records have ended.
+func (m *Manager) forgetCleaned(gone []table.Member) {
+	if len(m.cleaned) <= len(gone) {
+		return
+	}
+	kept := map[string]int{}
+	for _, r := range gone {
+		if turn, ok := m.cleaned[r.ID]; ok {
+			kept[r.ID] = turn
+		}
+	}
+	m.cleaned = kept
+}
--- a/internal/table/endpoints.go
+++ b/internal/table/endpoints.go
@@ -21,6 +21,9 @@
 	// Added is when this node first heard of the endpoint.
 	Added clock.Time
 
+	// dead is set while the node is believed dead; Endpoints.mu guards it.
+	dead bool
+
 	slots    atomic.Int64
 	state    atomic.Value
 	inFlight atomic.Int64
@@ -52,19 +55,26 @@
 type Endpoints struct {
 	clock clock.Clock
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// known holds the endpoints that have neither drained nor left, dead ones included.
+	known    map[string][]*Endpoint
+	resting  []resting
 	services map[string]*atomic.Pointer[[]*Endpoint]
 	index    atomic.Pointer[map[string]*atomic.Pointer[[]*Endpoint]]
 }
 
 // NewEndpoints returns an empty index.
 func NewEndpoints(c clock.Clock) *Endpoints {
-	t := &Endpoints{clock: c, services: map[string]*atomic.Pointer[[]*Endpoint]{}}
+	t := &Endpoints{
+		clock: c, known: map[string][]*Endpoint{}, services: map[string]*atomic.Pointer[[]*Endpoint]{},
+	}
 	t.publish()
 	return t
 }
 
-// Of returns the endpoints of a service that may take calls. The slice must not be changed.
+// Of returns the endpoints of a service that may take calls. Those of dead members
+// are left out unless the service has no others: the belief may be false, and a call
+// to a dead one is refused at no cost. The slice must not be changed.
 func (t *Endpoints) Of(service string) []*Endpoint {
 	p := (*t.index.Load())[service]
 	if p == nil {
@@ -78,7 +88,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	kept := map[string]bool{}
-	if m != nil && (m.State == Alive || m.State == Suspect) {
+	if m != nil && m.State != Left {
 		for _, e := range m.Endpoints {
 			if e.State != Draining {
 				kept[e.Service] = true
@@ -97,16 +107,20 @@
 }
 
 func (t *Endpoints) put(m *Member, e MemberEndpoint) {
-	list := t.list(e.Service)
+	list := t.known[e.Service]
 	at := slices.IndexFunc(list, func(x *Endpoint) bool { return x.Node == m.ID })
 	if at >= 0 && list[at].Incarnation == m.Incarnation && list[at].Address == m.Address {
 		list[at].slots.Store(int64(e.Slots))
 		list[at].state.Store(e.State)
+		if list[at].dead != (m.State == Dead) {
+			list[at].dead = m.State == Dead
+			t.store(e.Service, list)
+		}
 		return
 	}
 	added := &Endpoint{
 		Node: m.ID, Incarnation: m.Incarnation, Address: m.Address,
-		Domain: m.Domain, Service: e.Service, Added: t.clock.Now(),
+		Domain: m.Domain, Service: e.Service, Added: t.clock.Now(), dead: m.State == Dead,
 	}
 	added.slots.Store(int64(e.Slots))
 	added.state.Store(e.State)
@@ -120,20 +134,15 @@
 }
 
 func (t *Endpoints) drop(node, service string) {
-	list := slices.Clone(t.list(service))
+	list := slices.Clone(t.known[service])
 	list = slices.DeleteFunc(list, func(x *Endpoint) bool { return x.Node == node })
 	t.store(service, list)
 }
 
-func (t *Endpoints) list(service string) []*Endpoint {
-	p := t.services[service]
-	if p == nil {
-		return nil
-	}
-	return *p.Load()
-}
-
-func (t *Endpoints) store(service string, list []*Endpoint) {
+// store sets the known endpoints of a service and publishes those that may take calls.
+func (t *Endpoints) store(service string, known []*Endpoint) {
+	t.known[service] = known
+	list := believed(known)
 	p := t.services[service]
 	if p == nil {
 		p = &atomic.Pointer[[]*Endpoint]{}
@@ -145,6 +154,15 @@
 	p.Store(&list)
 }
 
+// believed returns the endpoints not believed dead, or all if there are none.
+func believed(known []*Endpoint) []*Endpoint {
+	list := slices.DeleteFunc(slices.Clone(known), func(x *Endpoint) bool { return x.dead })
+	if len(list) == 0 {
+		return known
+	}
+	return list
+}
+
 // publish copies the index of services, which grows rarely.
 func (t *Endpoints) publish() {
 	index := make(map[string]*atomic.Pointer[[]*Endpoint], len(t.services))
--- a/internal/table/locals.go
+++ b/internal/table/locals.go
@@ -2,10 +2,15 @@
 
 import (
 	"sync"
+	"time"
 
 	"comfreycart.dev/comfreycart/internal/clock"
 )
 
+// HeartbeatTimeout is how long after its last announcement a backend server gets new
+// work. With the time of one look it stays below three seconds.
+const HeartbeatTimeout = 2500 * time.Millisecond
+
 // Local is a backend server on this node's VM, as it announced itself.
 type Local struct {
 	Service     string
--- a/internal/table/members.go
+++ b/internal/table/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -51,10 +52,14 @@
 	Domain    string
 	State     MemberState
 	Endpoints []MemberEndpoint
-	// Changed is when this node last changed the record.
+	// Changed is when this node last changed the record. Of a record that came with
+	// its age it is that long ago.
 	Changed clock.Time
 }
 
+// Usable reports whether the member is believed to take calls.
+func (m *Member) Usable() bool { return m.State == Alive || m.State == Suspect }
+
 // Newer reports whether m replaces old.
 func (m *Member) Newer(old *Member) bool {
 	if m.Incarnation != old.Incarnation {
@@ -73,6 +78,8 @@
 
 	mu   sync.RWMutex
 	rows map[string]*Member
+	// all caches the answer of All until the next change.
+	all []Member
 
 	endpoints *Endpoints
 	changes   atomic.Uint64
@@ -83,7 +90,8 @@
 	return &Members{clock: c, rows: map[string]*Member{}, endpoints: endpoints}
 }
 
-// Merge takes in a record and reports whether it replaced what was known.
+// Merge takes in a record and reports whether it replaced what was known. A zero
+// Changed is set to now.
 func (t *Members) Merge(m Member) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -91,9 +99,11 @@
 	if old != nil && !m.Newer(old) {
 		return false
 	}
-	m.Changed = t.clock.Now()
+	if m.Changed == 0 {
+		m.Changed = t.clock.Now()
+	}
 	t.rows[m.ID] = &m
-	t.changes.Add(1)
+	t.changed()
 	t.endpoints.update(old, &m)
 	return true
 }
@@ -109,23 +119,38 @@
 	return *m, true
 }
 
-// All returns copies of all records, ordered by ID.
+// All returns all records, ordered by ID. The slice is shared and must not be
+// changed; as long as the table is unchanged, a call costs no scan.
 func (t *Members) All() []Member {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.all != nil {
+		return t.all
+	}
 	all := make([]Member, 0, len(t.rows))
 	for _, m := range t.rows {
 		all = append(all, *m)
 	}
-	slices.SortFunc(all, func(a, b Member) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	t.all = all
 	return all
 }
 
+// Refresh puts the endpoints of a member back as its record says.
+func (t *Members) Refresh(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.rows[id]; m != nil {
+		t.endpoints.update(m, m)
+	}
+}
+
+// changed notes a change; the table's lock is held.
+func (t *Members) changed() {
+	t.all = nil
+	t.changes.Add(1)
+}
+
 // Remove forgets a member.
 func (t *Members) Remove(id string) {
 	t.mu.Lock()
@@ -135,7 +160,7 @@
 		return
 	}
 	delete(t.rows, id)
-	t.changes.Add(1)
+	t.changed()
 	t.endpoints.update(old, nil)
 }
 
