Property tests of the gossip decisions

Random schedules of loss, delay, repetition, pause, kill, restart, leave and partition with a fixed, printed seed.

--- /dev/null
+++ b/internal/decide/gossip/machine_test.go
@@ -0,0 +1,258 @@
+package gossip
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+// healBound is how long after healing the views may differ, in a fleet of up to ten.
+const healBound = time.Minute
+
+// life is one incarnation of a node.
+type life struct {
+	id          string
+	incarnation uint64
+}
+
+// watch checks after each step that nobody takes a member for usable again that it
+// knew to have left.
+type watch struct {
+	left map[*table.Members]map[life]bool
+}
+
+func (w *watch) check(t *rapid.T, s *sim) {
+	for _, n := range s.nodes {
+		seen := w.left[n.members]
+		if seen == nil {
+			seen = map[life]bool{}
+			w.left[n.members] = seen
+		}
+		for _, r := range n.members.All() {
+			l := life{r.ID, r.Incarnation}
+			if r.State == table.Left {
+				seen[l] = true
+			} else if seen[l] {
+				t.Fatalf("%s takes %v that had left for %s", simID(n.index), l, r.State)
+			}
+		}
+	}
+}
+
+// disturb does one random thing to the fleet.
+func disturb(t *rapid.T, s *sim) {
+	n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")]
+	switch rapid.SampledFrom([]string{"loss", "calm", "pause", "resume", "kill", "restart", "leave", "split", "join", "change"}).Draw(t, "event") {
+	case "loss":
+		s.loss = 0.4
+	case "calm":
+		s.loss = 0
+	case "pause":
+		n.paused = n.running
+	case "resume":
+		n.paused = false
+	case "kill":
+		n.running = false
+	case "restart":
+		s.start(n)
+	case "leave":
+		if n.running && !n.left {
+			n.left = true
+			n.machine.Leave()
+		}
+	case "split":
+		for _, x := range s.nodes {
+			x.side = rapid.IntRange(0, 1).Draw(t, "side")
+		}
+	case "join":
+		for _, x := range s.nodes {
+			x.side = 0
+		}
+	case "change":
+		if n.running && !n.left {
+			n.machine.SetEndpoints([]table.MemberEndpoint{{Service: "s", Slots: rapid.IntRange(1, 9).Draw(t, "slots"), State: table.Ready}})
+		}
+	}
+}
+
+// Whatever is lost, delayed, repeated, paused, restarted and split, the views agree
+// with the truth within healBound after it ends, and nobody who left returns.
+func TestViewsConvergeAfterHealing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		s := newSim(seed, rapid.IntRange(3, 10).Draw(t, "nodes"))
+		w := &watch{left: map[*table.Members]map[life]bool{}}
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			disturb(t, s)
+			for range rapid.IntRange(0, 30).Draw(t, "steps") {
+				s.step()
+				w.check(t, s)
+			}
+		}
+		s.heal()
+		for _, n := range s.nodes[:2] {
+			if !n.running || n.left {
+				s.start(n)
+			}
+		}
+		for range healBound / Period {
+			s.step()
+			w.check(t, s)
+		}
+		if d := s.disagreement(); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+// A record that was cut off while its member left and was long gone must not return.
+func TestOldRecordDoesNotReturn(t *testing.T) {
+	s := newSim(7, 4)
+	for range 40 {
+		s.step()
+	}
+	require.Empty(t, s.disagreement())
+	s.nodes[3].side = 1
+	s.nodes[2].left = true
+	s.nodes[2].machine.Leave()
+	for range 20 {
+		s.step()
+	}
+	s.nodes[2].running = false
+	s.clock.Advance(2 * time.Hour)
+	s.nodes[3].side = 0
+	for range 240 {
+		s.step()
+		for _, n := range s.nodes[:2] {
+			r, _ := n.members.Get(simID(2))
+			require.Equal(t, table.Left, r.State)
+		}
+	}
+	require.Empty(t, s.disagreement())
+}
+
+// The records of the gone end, so that replacements do not fill the table.
+func TestGoneRecordsEnd(t *testing.T) {
+	s := newSim(8, 3)
+	for range 20 {
+		s.step()
+	}
+	s.nodes[2].running = false
+	for range 60 {
+		s.step()
+	}
+	require.Equal(t, 1, s.nodes[0].machine.Gone())
+	s.clock.Advance(KeepGone)
+	for range 10 {
+		s.step()
+	}
+	for _, n := range s.nodes[:2] {
+		require.Zero(t, n.machine.Gone())
+		require.Equal(t, 2, n.members.Len())
+		require.Empty(t, n.machine.digest.ids[bucketOf(simID(2))])
+	}
+}
+
+// A fleet that another node cannot reach for long leaves it the endpoints of a
+// service that has no others.
+func TestIsolationLeavesEndpoints(t *testing.T) {
+	clk := newSim(9, 1).clock
+	endpoints := table.NewEndpoints(clk)
+	members := table.NewMembers(clk, endpoints)
+	r := table.Member{ID: "a", Incarnation: 1, Sequence: 1, Address: "x", State: table.Alive,
+		Endpoints: []table.MemberEndpoint{{Service: "s", Slots: 1, State: table.Ready}}}
+	members.Merge(r)
+	r.State = table.Dead
+	members.Merge(r)
+	require.Len(t, endpoints.Of("s"), 1)
+	r.State = table.Left
+	members.Merge(r)
+	require.Empty(t, endpoints.Of("s"))
+}
+
+// checkSeed makes the random schedules the same in each run.
+const checkSeed = "20261204"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", checkSeed)
+	}
+	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+// Two halves without contacts find each other again after an hour apart.
+func TestHalvesMeetAgain(t *testing.T) {
+	s := newSim(10, 8)
+	for range 60 {
+		s.step()
+	}
+	require.Empty(t, s.disagreement())
+	for i, n := range s.nodes {
+		n.machine.contacts = nil
+		n.side = i % 2
+	}
+	for range time.Hour / Period {
+		s.step()
+	}
+	require.Equal(t, 4, s.nodes[0].machine.Live())
+	s.heal()
+	for range healBound / Period {
+		s.step()
+	}
+	require.Empty(t, s.disagreement())
+}
+
+// Two tables that differ for whatever reason are made equal by one comparison, whose
+// size follows the difference and not the table.
+func TestComparisonEvensOut(t *testing.T) {
+	const fleet, changed = 2000, 3
+	s := newSim(11, 2)
+	a, b := s.nodes[0].machine, s.nodes[1].machine
+	for i := 2; i < fleet; i++ {
+		r := table.Member{ID: simID(i), Incarnation: 1, Sequence: 1, Address: simAddress(i), State: table.Alive}
+		a.learn(r, comparison)
+		b.learn(r, comparison)
+	}
+	for i := 2; i < 2+changed; i++ {
+		r, _ := a.members.Get(simID(i))
+		r.Sequence++
+		a.learn(r, delta)
+	}
+	a.learn(b.self, delta)
+	b.learn(a.self, delta)
+	a.joined, a.differs = true, true
+	s.clock.Advance(compareInterval)
+	require.NotEmpty(t, a.Tick().Compare.Address)
+	a.queue, b.queue = newQueue(), newQueue()
+
+	reply := b.Receive(a.Comparison())
+	require.Len(t, reply.Compared, changed)
+	require.Less(t, len(reply.Members), 20*fleet*changed/Buckets)
+	back := a.AnsweredComparison(reply)
+	require.Len(t, back, changed)
+	b.Receive(Message{From: a.self, Members: back})
+	require.Equal(t, a.digest.total, b.digest.total)
+}
+
+// A node that was paused does not bury suspects whose objections wait unread.
+func TestPauseIsExcused(t *testing.T) {
+	s := newSim(12, 3)
+	for range 20 {
+		s.step()
+	}
+	m := s.nodes[0].machine
+	m.Missed(Target{ID: simID(2)})
+	s.clock.Advance(time.Minute)
+	m.Tick()
+	r, _ := s.nodes[0].members.Get(simID(2))
+	require.Equal(t, table.Suspect, r.State)
+}
