--- a/test/script/commands_test.go
+++ b/test/script/commands_test.go
@@ -5,8 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -16,6 +19,7 @@
 
 	"comfreycart.dev/comfreycart/internal/operator"
 	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/test/pki"
 	"comfreycart.dev/comfreycart/test/standin/backend"
 )
 
@@ -25,7 +29,7 @@
 
 // commands are ours besides the built-in ones:
 //
-//	fleet DEPLOYMENT N            start the platform and N nodes, apply the example, set $KEY_account
+//	fleet DEPLOYMENT N [tls]      start the platform and N nodes, apply the example, set $KEY_account
 //	addnode                       start one more node
 //	backend NODE SERVICE [FLAG..] start a backend server
 //	ready ENDPOINTS NODE..        wait until the nodes see so many endpoints
@@ -35,25 +39,28 @@
 //	platform JSON                 the platform's faults
 //	behave NODE SERVICE JSON      what a backend server does
 //	request NODE METHOD PATH [key=K] [idem=I] [body=B] [h:NAME=V]
-//	eventually SECONDS COMMAND..  retry one of our commands until its output holds WANT: .. -- WANT
+//	eventually SECONDS COMMAND..  retry request, journal, metric, log or run until its output holds WANT: .. -- WANT
+//	log NAME                      a process's log, for eventually
+//	run ARG..                     the command-line tool, for eventually
 //	traffic NAME RATE NODES METHOD PATH [key=..] ..    start traffic
 //	endtraffic NAME               end it and print what came back
 //	journal NODE SERVICE          print what a backend server ran
 //	runs NODE SERVICE             print how many calls a backend server ran
 //	metric NODE PATTERN           print matching metric lines
 //	withdraw NODE TEAM ACCOUNT    withdraw the account's key
+//	plain NODE                    talk to the peer listener without TLS
 //	sleep SECONDS
 var commands = wrap(map[string]command{
 	"fleet": fleetCmd, "addnode": addNodeCmd, "backend": backendCmd, "ready": readyCmd,
 	"start": startCmd, "killnode": killCmd, "freeze": freezeCmd, "thaw": thawCmd, "stopnode": stopCmd,
 	"cut": cutCmd, "heal": healCmd, "platform": platformCmd, "behave": behaveCmd,
 	"request": requestCmd, "traffic": trafficCmd, "endtraffic": endTrafficCmd,
-	"journal": journalCmd, "runs": runsCmd, "metric": metricCmd, "withdraw": withdrawCmd, "sleep": sleepCmd,
+	"journal": journalCmd, "runs": runsCmd, "metric": metricCmd, "withdraw": withdrawCmd, "sleep": sleepCmd, "plain": plainCmd,
 })
 
 // retryable are the commands that eventually may repeat.
 var retryable = map[string]command{
-	"request": requestCmd, "journal": journalCmd, "metric": metricCmd,
+	"request": requestCmd, "journal": journalCmd, "metric": metricCmd, "run": runCmd, "log": logCmd,
 }
 
 func init() {
@@ -100,11 +107,16 @@
 	if err != nil {
 		return "", err
 	}
+	if len(args) > 2 && args[2] == "tls" {
+		if f.pki, err = pki.New(f.dir, "ca"); err != nil {
+			return "", err
+		}
+		ts.Setenv("COMFREYCART_CA", f.caFile())
+	}
 	if err := f.start(args[0], n); err != nil {
 		return "", err
 	}
-	ts.Setenv("ADMIN", "http://"+f.addr(0, portAdmin))
-	ts.Setenv("COMFREYCART_ADMIN", "http://"+f.addr(0, portAdmin))
+	ts.Setenv("COMFREYCART_ADMIN", f.scheme()+f.addr(0, portAdmin))
 	ts.Setenv("COMFREYCART_TOKEN", adminToken)
 	file := examplesDir() + "/" + f.deployment + ".json"
 	if own := ts.MkAbs("settings.json"); exists(own) {
@@ -313,7 +325,7 @@
 	if err != nil {
 		return "", err
 	}
-	q.url = "http://" + n.Listen.Caller
+	q.url = f.scheme() + n.Listen.Caller
 	out, err := q.send()
 	if err != nil {
 		return "", err
@@ -333,7 +345,7 @@
 		if err != nil {
 			return "", err
 		}
-		urls = append(urls, "http://"+n.Listen.Caller)
+		urls = append(urls, f.scheme()+n.Listen.Caller)
 	}
 	q, err := f.parseRequest(args[3:])
 	if err != nil {
@@ -430,6 +442,34 @@
 	return "", err
 }
 
+func logCmd(f *fleet, _ *testscript.TestScript, args []string) (string, error) {
+	data, err := os.ReadFile(filepath.Join(f.dir, args[0]+".log"))
+	return string(data), err
+}
+
+func runCmd(_ *fleet, ts *testscript.TestScript, args []string) (string, error) {
+	cmd := exec.Command(filepath.Join(binaries, "comfreycart"), args...)
+	for _, name := range []string{"COMFREYCART_ADMIN", "COMFREYCART_TOKEN"} {
+		cmd.Env = append(cmd.Env, name+"="+ts.Getenv(name))
+	}
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+func plainCmd(f *fleet, _ *testscript.TestScript, args []string) (string, error) {
+	n, err := f.node(args[0])
+	if err != nil {
+		return "", err
+	}
+	c, err := net.Dial("tcp", n.Listen.Peer)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_, err = io.WriteString(c, "not a handshake, but long enough to be read as one\n")
+	return "", err
+}
+
 func sleepCmd(_ *fleet, _ *testscript.TestScript, args []string) (string, error) {
 	seconds, err := strconv.ParseFloat(args[0], 64)
 	time.Sleep(time.Duration(seconds * float64(time.Second)))
