A planned stop cuts no request

Cause: a stopping node refused calls that routes without retries could not send elsewhere, closed idle connections that calls were just sent on, and gave notice of 300 ms only. A backend server whose announcement was lost could get work from a node that had just been paused. Ruled out: that ReadTimeout cuts running requests (test in internal/api passes as is).

--- a/internal/api/message.go
+++ b/internal/api/message.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -35,13 +36,15 @@
 var secretHeaders = []string{"Authorization", "Proxy-Authorization", "Cookie"}
 
 // NewServer returns an HTTP/1.1, HTTP/2 and h2c server with the limits of every listener.
-func NewServer(h http.Handler) *http.Server {
+func NewServer(h http.Handler) *http.Server { return newServer(h, readTimeout) }
+
+func newServer(h http.Handler, bodyTime time.Duration) *http.Server {
 	n := negroni.New(negroni.NewRecovery())
 	n.UseHandler(h)
 	s := &http.Server{
 		Handler:           n,
 		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       readTimeout,
+		ReadTimeout:       bodyTime,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         &http.Protocols{},
@@ -146,10 +149,9 @@
 func WriteAnswer(w http.ResponseWriter, a *call.Answer) {
 	h := w.Header()
 	for name, values := range a.Header {
-		h[name] = values
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
+		if !slices.Contains(hopHeaders, name) {
+			h[name] = values
+		}
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	w.WriteHeader(a.Status)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -30,9 +31,6 @@
 
 const (
 	expiryInterval = 10 * time.Second
-	// leaveNotice is how long a leaving node still serves callers, so that they and
-	// the other nodes turn elsewhere first.
-	leaveNotice = 300 * time.Millisecond
 )
 
 // Node is one node. Its fields are provided by wire.
@@ -52,7 +50,10 @@
 	Fences     *fence.Table
 	Server     *serve.Server
 
+	// callers is the server of the callers' listener, servers those of all listeners.
+	callers *http.Server
 	servers []*http.Server
+	leaving atomic.Bool
 	wg      sync.WaitGroup
 }
 
@@ -101,7 +102,7 @@
 		files         *certs.Files
 		handler       http.Handler
 	}{
-		{"caller", l.Caller, n.Config.TLS.Caller, n.Caller},
+		{"caller", l.Caller, n.Config.TLS.Caller, n.farewell(n.Caller)},
 		{"backend", l.Backend, nil, n.Backend.Routes()},
 		{"egress", l.Egress, nil, n.Egress},
 		{"admin", l.Admin, n.Config.TLS.Admin, n.Admin.Routes()},
@@ -117,6 +118,9 @@
 		}
 		server := api.NewServer(x.handler)
 		n.servers = append(n.servers, server)
+		if x.name == "caller" {
+			n.callers = server
+		}
 		n.spawn(func() { n.serve(server, lis) })
 	}
 	return nil
@@ -160,20 +164,6 @@
 	}
 }
 
-// drain is the planned stop, within the configured bound.
-func (n *Node) drain() {
-	ctx, cancel := context.WithTimeout(context.Background(), n.Config.Drain())
-	defer cancel()
-	n.Server.Drain()
-	n.Membership.Leave(ctx)
-	time.Sleep(leaveNotice)
-	n.Server.Idle(ctx)
-	for _, s := range n.servers {
-		_ = s.Shutdown(ctx)
-	}
-	_ = n.PeerClient.Close()
-}
-
 func (n *Node) closeListeners() {
 	for _, s := range n.servers {
 		_ = s.Close()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 	"storj.io/drpc/drpcmux"
@@ -50,8 +52,14 @@
 	objects ObjectSource
 	shares  ShareHome
 	claims  ClaimHome
+
+	handler counted
+	conns   atomic.Pointer[connections]
 }
 
+// answerPoll is how often a stopping server looks for replies under way.
+const answerPoll = 5 * time.Millisecond
+
 // NewServer returns a server that hands each message to the system it is for.
 func NewServer(self dispatch.Self, c clock.Clock, log zerolog.Logger, local dispatch.Local, fences *fence.Table,
 	syncer Syncer, objects ObjectSource, shares ShareHome, claims ClaimHome) *Server {
@@ -67,11 +75,26 @@
 	if err := peerpb.DRPCRegisterPeer(mux, s); err != nil {
 		return err
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+	s.handler.Handler = mux
+	conns := newConnections(lis)
+	s.conns.Store(conns)
+	server := drpcserver.NewWithOptions(&s.handler, drpcserver.Options{
 		Manager: managerOptions(),
 		Log:     func(err error) { s.log.Debug().Err(err).Msg("peer connection") },
 	})
-	return server.Serve(ctx, lis)
+	return server.Serve(ctx, conns)
+}
+
+// CloseConnections waits until the replies under way are sent or ctx ends, and
+// closes the other nodes' connections. The listener stays open: a node whose call
+// was lost with its connection can still ask here whether it ran.
+func (s *Server) CloseConnections(ctx context.Context) {
+	for s.handler.active.Load() > 0 && ctx.Err() == nil {
+		time.Sleep(answerPoll)
+	}
+	if conns := s.conns.Load(); conns != nil {
+		conns.closeAccepted()
+	}
 }
 
 // Call implements the Peer service.
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -55,6 +55,7 @@
 	var last call.Result
 	tried := map[string]bool{}
 	left := c.Allowance
+	moves := 0
 	for {
 		e := d.pick(c.Service, tried)
 		if e == nil {
@@ -64,6 +65,11 @@
 		last = d.send(ctx, e, c, left)
 		left = last.Unused
 		reason, again := again(ctx, c, &last)
+		if again && moves < maxMoves && moved(&last) {
+			moves++
+			d.metric.Retried(reason)
+			continue
+		}
 		if !again || left == 0 {
 			return last
 		}
@@ -95,6 +101,9 @@
 	if r.Failure != nil && r.Failure.Reason == call.PeerLost {
 		d.settle(ctx, e, attempt.ID, &r)
 	}
+	if r.Failure != nil && r.Failure.Reason == call.Draining {
+		d.endpoints.Rest(e)
+	}
 	if r.Feedback != nil {
 		e.SetFeedback(r.Feedback)
 	}
--- a/internal/system/dispatch/retry.go
+++ b/internal/system/dispatch/retry.go
@@ -11,6 +11,24 @@
 // fenceTimeout bounds the question whether a lost call has started.
 const fenceTimeout = 500 * time.Millisecond
 
+// maxMoves bounds how often one hop turns elsewhere without spending its allowance.
+const maxMoves = 8
+
+// moved reports whether the endpoint was gone, so that turning elsewhere costs no
+// allowance: a planned stop cuts no request, also on routes without retries. Such a
+// refusal proves that the call did not run, so at most one of the endpoints turned to
+// does any work.
+func moved(r *call.Result) bool {
+	if r.Failure == nil || r.Failure.Outcome != call.NotRun {
+		return false
+	}
+	switch r.Failure.Reason {
+	case call.Draining, call.NoEndpoint, call.PeerUnreachable:
+		return true
+	}
+	return false
+}
+
 // settle asks for proof that a lost call did not run.
 func (d *Dispatcher) settle(ctx context.Context, e *table.Endpoint, id call.ID, r *call.Result) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fenceTimeout)
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/call"
@@ -26,6 +27,9 @@
 	mu       sync.Mutex
 	stations map[string]*station
 	draining bool
+
+	// handled counts the calls that were taken in and have no result yet.
+	handled atomic.Int64
 }
 
 // station is what the server keeps for one local backend server.
@@ -52,6 +56,8 @@
 // Handle runs a call at the local backend server of its service. The call's
 // Deadline must be on this node's clock.
 func (s *Server) Handle(ctx context.Context, c *call.Call) call.Result {
+	s.handled.Add(1)
+	defer s.handled.Add(-1)
 	if !s.fences.Arrive(c.ID) {
 		return call.Fail(call.Refuse(call.Fenced, "the call was fenced or seen before"), c.Allowance)
 	}
@@ -68,6 +74,10 @@
 		return s.refused(st, c, f)
 	}
 	defer release()
+	if s.leaving(c.Service) {
+		s.fences.Fence(c.ID)
+		return s.refused(st, c, call.Refuse(call.Draining, "the endpoint left while the call was queued"))
+	}
 	if ctx.Err() != nil {
 		s.fences.Fence(c.ID)
 		return s.refused(st, c, call.Refuse(call.QueueTimeout, "deadline passed while queued"))
@@ -92,7 +102,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || local.State == table.Draining {
+	if s.draining || s.leaving(service) {
 		return local, nil, call.Refuse(call.Draining, "the endpoint is leaving")
 	}
 	st := s.stations[service]
@@ -106,6 +116,16 @@
 	return local, st, nil
 }
 
+// leaving reports whether a backend server drains or is no longer heard of. The age
+// of its heartbeat is looked at here too, since this node may just have been paused.
+func (s *Server) leaving(service string) bool {
+	local, ok := s.locals.Get(service)
+	if !ok || local.State == table.Draining {
+		return true
+	}
+	return s.clock.Now().Sub(local.Heard) > table.HeartbeatTimeout
+}
+
 // run sends a started call to its backend server.
 func (s *Server) run(ctx context.Context, st *station, local table.Local, c *call.Call) call.Result {
 	handle, running := s.calls.Open(ctx, c)
@@ -140,10 +160,10 @@
 	s.metric.Gauge("comfreycart_queued_calls", load(func(f *call.Feedback) uint32 { return f.Queued }), "service", service)
 }
 
-// Idle waits until no call runs or ctx ends.
+// Idle waits until no call runs or waits, or ctx ends.
 func (s *Server) Idle(ctx context.Context) {
 	const look = 10 * time.Millisecond
-	for s.calls.Len() > 0 {
+	for s.handled.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return
