A call proven not to have run keeps its allowance and is sent elsewhere

Cause: a call cut by the closing of a stopping node's connection was proven not run, but had lost its allowance, so that routes without retries failed it.

--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -101,6 +101,9 @@
 	if r.Failure != nil && r.Failure.Reason == call.PeerLost {
 		d.settle(ctx, e, attempt.ID, &r)
 	}
+	if r.Failure != nil && r.Failure.Reason == call.Fenced {
+		r.Unused = left
+	}
 	if r.Failure != nil && r.Failure.Reason == call.Draining {
 		d.endpoints.Rest(e)
 	}
--- a/internal/system/dispatch/retry.go
+++ b/internal/system/dispatch/retry.go
@@ -14,7 +14,7 @@
 // maxMoves bounds how often one hop turns elsewhere without spending its allowance.
 const maxMoves = 8
 
-// moved reports whether the endpoint was gone, so that turning elsewhere costs no
+// moved reports whether the endpoint was gone or its connection was closed, so that turning elsewhere costs no
 // allowance: a planned stop cuts no request, also on routes without retries. Such a
 // refusal proves that the call did not run, so at most one of the endpoints turned to
 // does any work.
@@ -23,7 +23,7 @@
 		return false
 	}
 	switch r.Failure.Reason {
-	case call.Draining, call.NoEndpoint, call.PeerUnreachable:
+	case call.Draining, call.NoEndpoint, call.PeerUnreachable, call.Fenced:
 		return true
 	}
 	return false
