Requests that reach a stopping node late are answered

A TLS connection whose handshake ended after Close was closed too. Change: the callers' listener closes first, requests under way and first requests of accepted connections are answered, and only then Shutdown is called; the TLS listener hands out what was being handshaken.

--- a/internal/certs/listener.go
+++ b/internal/certs/listener.go
@@ -22,9 +22,10 @@
 	refused func()
 
 	ready chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-	err   error
+	// pending counts the handshakes under way.
+	pending sync.WaitGroup
+	done    chan struct{}
+	err     error
 }
 
 // NewListener serves TLS on lis; refused is called for each failed handshake.
@@ -37,7 +38,8 @@
 	return l
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After Close it still hands out the connections
+// that were being handshaken: their clients may have sent a request already.
 func (l *Listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.ready:
@@ -51,13 +53,12 @@
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
-			l.once.Do(func() {
-				l.err = err
-				close(l.done)
-			})
+			l.pending.Wait()
+			l.err = err
+			close(l.done)
 			return
 		}
-		go l.handshake(c)
+		l.pending.Go(func() { l.handshake(c) })
 	}
 }
 
@@ -73,7 +74,7 @@
 	}
 	select {
 	case l.ready <- c:
-	case <-l.done:
+	case <-ctx.Done():
 		_ = c.Close()
 	}
 }
--- a/internal/decide/gossip/sim_test.go
+++ b/internal/decide/gossip/sim_test.go
@@ -35,14 +35,17 @@
 	late        []late
 	loss        float64
 	incarnation uint64
+	byAddress   map[string]*simNode
 	messages    int
+	bytes       int
 }
 
 func newSim(seed uint64, n int) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), clock: &clock.Fake{}}
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), clock: &clock.Fake{}, byAddress: map[string]*simNode{}}
 	s.clock.Advance(time.Hour)
 	for i := range n {
 		s.nodes = append(s.nodes, &simNode{index: i})
+		s.byAddress[simAddress(i)] = s.nodes[i]
 		s.start(s.nodes[i])
 	}
 	return s
@@ -62,14 +65,7 @@
 	n.running, n.paused, n.left = true, false, false
 }
 
-func (s *sim) at(address string) *simNode {
-	for _, n := range s.nodes {
-		if simAddress(n.index) == address {
-			return n
-		}
-	}
-	return nil
-}
+func (s *sim) at(address string) *simNode { return s.byAddress[address] }
 
 // call sends a message and returns the reply, if it came in time.
 func (s *sim) call(from *simNode, t Target, msg Message) (Message, bool) {
@@ -84,12 +80,22 @@
 		return Message{}, false
 	}
 	reply := to.machine.Receive(msg)
+	s.bytes += size(msg) + size(reply)
 	if s.rng.Float64() < s.loss {
 		to.machine.Receive(msg)
 	}
 	return reply, s.rng.Float64() >= s.loss
 }
 
+// size estimates a message in bytes.
+func size(m Message) int {
+	n := recordSize(&m.From) + 8 + 8*len(m.Buckets) + 2*len(m.Compared)
+	for i := range m.Members {
+		n += recordSize(&m.Members[i])
+	}
+	return n
+}
+
 func (s *sim) ask(from *simNode, t Target) bool {
 	reply, ok := s.call(from, t, from.machine.Message(t))
 	return ok && from.machine.Answered(t, reply)
--- /dev/null
+++ b/internal/node/callers.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// firstRequestTime is how long a stopping node waits for the first request on a
+	// connection that it accepted.
+	firstRequestTime = time.Second
+	// quietPoll is how often it looks.
+	quietPoll = 5 * time.Millisecond
+)
+
+// callerServer serves callers and ends without cutting a request. The standard
+// Shutdown drops a request that it reads after it began, also the first one on a
+// connection accepted before; so nothing is shut down until no request can come.
+type callerServer struct {
+	server   *http.Server
+	listener net.Listener
+	ended    chan struct{}
+
+	mu sync.Mutex
+	// busy holds connections with a request or without a first one, and since when.
+	busy map[net.Conn]busyConn
+}
+
+type busyConn struct {
+	state http.ConnState
+	since time.Time
+}
+
+func newCallerServer(s *http.Server, lis net.Listener) *callerServer {
+	c := &callerServer{server: s, listener: lis, ended: make(chan struct{}), busy: map[net.Conn]busyConn{}}
+	s.ConnState = c.note
+	return c
+}
+
+// serve accepts connections until the listener is closed.
+func (c *callerServer) serve(log zerolog.Logger) {
+	defer close(c.ended)
+	err := c.server.Serve(c.listener)
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		log.Error().Err(err).Stringer("address", c.listener.Addr()).Msg("listener ended")
+	}
+}
+
+func (c *callerServer) note(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateNew, http.StateActive:
+		c.busy[conn] = busyConn{state, time.Now()}
+	default:
+		delete(c.busy, conn)
+	}
+}
+
+// finish accepts no more connections, waits until no request runs or is awaited, and
+// closes the rest. When ctx ends first it closes all.
+func (c *callerServer) finish(ctx context.Context) {
+	_ = c.listener.Close()
+	select {
+	case <-c.ended:
+	case <-ctx.Done():
+	}
+	for !c.quiet() && ctx.Err() == nil {
+		time.Sleep(quietPoll)
+	}
+	_ = c.server.Shutdown(ctx)
+}
+
+// quiet reports whether no connection has a request, or has yet to send its first.
+func (c *callerServer) quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range c.busy {
+		if b.state == http.StateActive || time.Since(b.since) < firstRequestTime {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -35,7 +35,7 @@
 	n.Membership.Leave(finish)
 	<-notice
 
-	_ = n.callers.Shutdown(finish)
+	n.callers.finish(finish)
 	n.Server.Idle(finish)
 	n.PeerServer.CloseConnections(finish)
 	pause(ctx, proofTime)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,7 +51,7 @@
 	Server     *serve.Server
 
 	// callers is the server of the callers' listener, servers those of all listeners.
-	callers *http.Server
+	callers *callerServer
 	servers []*http.Server
 	leaving atomic.Bool
 	wg      sync.WaitGroup
@@ -119,7 +119,9 @@
 		server := api.NewServer(x.handler)
 		n.servers = append(n.servers, server)
 		if x.name == "caller" {
-			n.callers = server
+			n.callers = newCallerServer(server, lis)
+			n.spawn(func() { n.callers.serve(n.Log) })
+			continue
 		}
 		n.spawn(func() { n.serve(server, lis) })
 	}
