--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -81,9 +81,21 @@
 	return r
 }
 
-// Fence reports whether a call had not started at e's node and now never will.
+// Fence reports whether a call had not started at e's node and now never will. It
+// asks a second time on a new connection, since what cut the call may have closed the
+// idle ones too.
 func (c *Client) Fence(ctx context.Context, e *table.Endpoint, id call.ID) bool {
-	reply, err := c.To(ctx, e.Address).Fence(ctx, &peerpb.FenceRequest{Id: id[:], Incarnation: e.Incarnation})
+	req := &peerpb.FenceRequest{Id: id[:], Incarnation: e.Incarnation}
+	reply, err := c.To(ctx, e.Address).Fence(ctx, req)
+	if err == nil || ctx.Err() != nil {
+		return err == nil && reply.NotStarted
+	}
+	conn, err := c.dial(ctx, e.Address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	reply, err = peerpb.NewDRPCPeerClient(conn).Fence(ctx, req)
 	return err == nil && reply.NotStarted
 }
 
--- /dev/null
+++ b/internal/peer/stop_test.go
@@ -0,0 +1,72 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/system/dispatch"
+	"comfreycart.dev/comfreycart/internal/system/fence"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+// refuser refuses every call, as a leaving node does.
+type refuser struct{}
+
+func (refuser) Handle(_ context.Context, c *call.Call) call.Result {
+	return call.Fail(call.Refuse(call.Draining, "leaving"), c.Allowance)
+}
+
+// A call that is lost when a stopping node closes its connections can be proven not
+// to have run, since the node still answers.
+func TestCallsLostByCloseAreProven(t *testing.T) {
+	clk := clock.Boot{}
+	s := NewServer(dispatch.Self{ID: "b", Incarnation: 1}, clk, zerolog.Nop(), refuser{}, fence.New(clk), nil, nil, nil, nil)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = s.Serve(ctx, lis) }()
+
+	client := NewClient(clk, Source{}, nil)
+	defer client.Close()
+	e := &table.Endpoint{Node: "b", Incarnation: 1, Address: lis.Addr().String()}
+	var lost, unproven atomic.Int64
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c := &call.Call{ID: call.NewID(), Deadline: clk.Now().Add(time.Minute), Request: &call.Request{}}
+				r := client.Call(ctx, e, c)
+				if r.Failure.Reason == call.PeerLost {
+					lost.Add(1)
+					if !client.Fence(ctx, e, c.ID) {
+						unproven.Add(1)
+					}
+				}
+			}
+		})
+	}
+	for range 20 {
+		time.Sleep(50 * time.Millisecond)
+		s.conns.Load().closeAccepted()
+	}
+	close(stop)
+	wg.Wait()
+	require.Positive(t, lost.Load())
+	require.Zero(t, unproven.Load(), "of %d", lost.Load())
+}
