--- a/internal/decide/gossip/bench_test.go
+++ b/internal/decide/gossip/bench_test.go
@@ -108,14 +108,21 @@
 }
 
 // rumor simulates only the spread of changes, for sizes at which the whole tables of
-// all nodes do not fit here. Every change is one byte budget item of changeBytes.
+// all nodes do not fit here. Messages take up to 100 ms; a change is changeBytes long.
 type rumor struct {
 	rng   *rand.Rand
 	nodes []rumorNode
+	// onWay holds the messages that arrive in each of the coming steps.
+	onWay [rumorDelaySteps + 1][]rumorMessage
 	sent  int
 	done  int
 }
 
+type rumorMessage struct {
+	to  int
+	ids []string
+}
+
 type rumorNode struct {
 	queue     *queue
 	known     map[string]bool
@@ -127,6 +134,8 @@
 const (
 	rumorStep   = 10 * time.Millisecond
 	changeBytes = 100
+	// rumorDelaySteps is the longest time of a message on its way, in steps.
+	rumorDelaySteps = 10
 )
 
 func newRumor(n int) *rumor {
@@ -149,15 +158,21 @@
 
 func (r *rumor) send(from, to int) int {
 	ids := r.nodes[from].queue.take(messageBytes, resends(len(r.nodes)), func(string) int { return changeBytes })
-	for _, id := range ids {
-		r.learn(to, id)
-	}
+	arrives := 1 + r.rng.IntN(rumorDelaySteps)
+	r.onWay[arrives] = append(r.onWay[arrives], rumorMessage{to, ids})
 	r.sent += changeBytes * (1 + len(ids))
 	return changeBytes * (1 + len(ids))
 }
 
 // step is rumorStep of all nodes.
 func (r *rumor) step(now time.Duration) {
+	copy(r.onWay[:], r.onWay[1:])
+	r.onWay[rumorDelaySteps] = nil
+	for _, m := range r.onWay[0] {
+		for _, id := range m.ids {
+			r.learn(m.to, id)
+		}
+	}
 	for _, i := range r.rng.Perm(len(r.nodes)) {
 		n := &r.nodes[i]
 		if now%Period == n.phase/rumorStep*rumorStep {
