Idempotency keys are claimed at their home; refusals, keys and answers hardened

Cause: repeats under one Idempotency-Key ran again through each node; a refusal of a later attempt said not-run although an earlier attempt may have run; a proven fence left no allowance; Comfreycart headers of backend servers reached callers; keys in the body, the path or an escaped query reached backend servers; a panic printed its value. Change: claims with one home per key and a term, outcomes of all attempts together, refusals by backend servers believed only before their first sub-call, keys taken out or refused.

--- a/internal/api/caller/caller.go
+++ b/internal/api/caller/caller.go
@@ -34,11 +34,11 @@
 	metric.Observe(h.metric.Histogram("comfreycart_request_seconds"), time.Since(begin))
 	if f := result.Failure; f != nil {
 		h.metric.Refused(f.Reason)
-		h.log.Debug().Str("reason", string(f.Reason)).Str("outcome", string(f.Outcome)).Str("path", r.URL.Path).Msg("refused")
+		h.log.Debug().Str("reason", string(f.Reason)).Str("outcome", string(f.Outcome)).Msg("refused")
 		problem.Write(w, f)
 		return
 	}
-	api.WriteAnswer(w, result.Answer)
+	api.WriteAnswer(w, r, result.Answer)
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) call.Result {
@@ -55,7 +55,11 @@
 	if f != nil {
 		return call.Result{Failure: f}
 	}
-	return h.gate.Run(r.Context(), admission, timeout, api.Forwarded(r, body, key))
+	forwarded, f := api.Forwarded(r, body, key)
+	if f != nil {
+		return call.Result{Failure: f}
+	}
+	return h.gate.Run(r.Context(), admission, timeout, forwarded)
 }
 
 func bearer(h http.Header) string {
--- a/internal/api/egress/egress.go
+++ b/internal/api/egress/egress.go
@@ -40,11 +40,11 @@
 	result := h.serve(w, r)
 	if f := result.Failure; f != nil {
 		h.metric.Refused(f.Reason)
-		h.log.Debug().Str("reason", string(f.Reason)).Str("outcome", string(f.Outcome)).Str("path", r.URL.Path).Msg("sub-call refused")
+		h.log.Debug().Str("reason", string(f.Reason)).Str("outcome", string(f.Outcome)).Msg("sub-call refused")
 		problem.Write(w, f)
 		return
 	}
-	api.WriteAnswer(w, result.Answer)
+	api.WriteAnswer(w, r, result.Answer)
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) call.Result {
@@ -52,6 +52,7 @@
 	if parent == nil {
 		return call.Result{Failure: call.Refuse(call.HandleUnknown, "no running call has this handle")}
 	}
+	parent.MarkSubCall()
 	view := h.views.View()
 	if view == nil {
 		return call.Result{Failure: call.Refuse(call.SettingsMissing, "the node has no settings yet")}
@@ -68,12 +69,28 @@
 	if f != nil {
 		return call.Result{Failure: f}
 	}
-	c := h.subCall(parent, route, api.Forwarded(r, body, ""))
+	forwarded, f := api.Forwarded(r, body, "")
+	if f != nil {
+		return call.Result{Failure: f}
+	}
+	c, f := h.subCall(parent, route, forwarded)
+	if f != nil {
+		return call.Result{Failure: f}
+	}
 	c.Deadline = min(parent.Call.Deadline, h.clock.Now().Add(timeout))
 	return h.run(r.Context(), parent, c)
 }
 
-func (h *Handler) subCall(parent *table.Running, route *settings.CompiledRoute, r *call.Request) *call.Call {
+// subCall returns the call for a sub-call of parent. A request that came without a
+// key has no account, and reaches no route that callers need a key for.
+func (h *Handler) subCall(parent *table.Running, route *settings.CompiledRoute, r *call.Request) (*call.Call, *call.Failure) {
+	if parent.Call.Account == "" && !route.Open && !route.Internal {
+		return nil, call.Refuse(call.KeyUnknown, "the request came without a key, which route %s needs", route.Name)
+	}
+	allowance, f := parent.TakeAllowance()
+	if f != nil {
+		return nil, f
+	}
 	return &call.Call{
 		ID:          call.NewID(),
 		Account:     parent.Call.Account,
@@ -81,12 +98,12 @@
 		Route:       route.Name,
 		Priority:    parent.Call.Priority,
 		Idempotent:  route.Idempotent,
-		Allowance:   parent.TakeAllowance(),
+		Allowance:   allowance,
 		Depth:       parent.Call.Depth + 1,
 		Spent:       parent.Call.Spent,
 		AnswerLimit: route.AnswerLimitBytes,
 		Request:     r,
-	}
+	}, nil
 }
 
 // run sends the sub-call; it ends with its parent at the latest.
@@ -99,5 +116,8 @@
 	if result.Overloaded {
 		parent.MarkOverloaded()
 	}
+	if result.Failed() {
+		parent.MarkFailed()
+	}
 	return result
 }
--- a/internal/api/message.go
+++ b/internal/api/message.go
@@ -28,15 +28,18 @@
 // hopHeaders concern one connection and are never passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
-// secretHeaders may hold a key, or are ours to set.
+// ownPrefix begins the headers that only the system sets.
+const ownPrefix = "Comfreycart-"
+
+// secretHeaders may hold a key.
 var secretHeaders = []string{"Authorization", "Proxy-Authorization", "Cookie"}
 
 // NewServer returns an HTTP/1.1 and h2c server with the limits of every listener.
 func NewServer(h http.Handler) *http.Server {
-	n := negroni.New(negroni.NewRecovery())
+	n := negroni.New(negroni.HandlerFunc(recovery))
 	n.UseHandler(h)
 	s := &http.Server{
 		Handler:           n,
@@ -80,26 +83,47 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-// Forwarded returns the request as it may be passed on: without what concerns this
-// connection and without the secret, wherever it stands.
-func Forwarded(r *http.Request, body []byte, secret string) *call.Request {
+// Forwarded returns the request as it may be passed on: without trailers, without
+// what concerns this connection, and without key. A key that cannot be taken out is
+// a reason to refuse the request.
+func Forwarded(r *http.Request, body []byte, key string) (*call.Request, *call.Failure) {
+	s := newSecret(key)
+	if f := s.refuse(r, body); f != nil {
+		return nil, f
+	}
 	return &call.Request{
 		Method:   r.Method,
 		Path:     r.URL.Path,
-		RawQuery: cleanQuery(r.URL.RawQuery, secret),
-		Header:   CleanHeader(r.Header, secret),
+		RawQuery: s.cleanQuery(r.URL.RawQuery),
+		Header:   cleanRequestHeader(r.Header, s),
 		Body:     body,
+	}, nil
+}
+
+func cleanRequestHeader(h http.Header, s secret) http.Header {
+	out := cleanHeader(h)
+	for name, values := range out {
+		if s.in(strings.ToLower(name)) || s.inAny(values) {
+			delete(out, name)
+		}
+	}
+	for _, name := range secretHeaders {
+		out.Del(name)
 	}
+	out.Del(HeaderTimeout)
+	return out
 }
 
-// CleanHeader copies a header without hop-by-hop fields, ours, and the secret.
-func CleanHeader(h http.Header, secret string) http.Header {
+// AnswerHeader copies an answer's header without hop-by-hop fields and ours.
+func AnswerHeader(h http.Header) http.Header { return cleanHeader(h) }
+
+// cleanHeader copies a header without hop-by-hop fields and ours.
+func cleanHeader(h http.Header) http.Header {
 	out := make(http.Header, len(h))
 	for name, values := range h {
-		if strings.HasPrefix(name, "Comfreycart-") || holds(values, secret) {
-			continue
+		if !strings.HasPrefix(name, ownPrefix) {
+			out[name] = values
 		}
-		out[name] = values
 	}
 	for _, list := range h.Values("Connection") {
 		for name := range strings.SplitSeq(list, ",") {
@@ -109,48 +133,24 @@
 	for _, name := range hopHeaders {
 		out.Del(name)
 	}
-	for _, name := range secretHeaders {
-		out.Del(name)
-	}
-	out.Del(HeaderTimeout)
 	return out
 }
 
-func holds(values []string, secret string) bool {
-	if secret == "" {
-		return false
-	}
-	for _, v := range values {
-		if strings.Contains(v, secret) {
-			return true
-		}
-	}
-	return false
-}
-
-func cleanQuery(raw, secret string) string {
-	if secret == "" || !strings.Contains(raw, secret) {
-		return raw
-	}
-	var kept []string
-	for part := range strings.SplitSeq(raw, "&") {
-		if !strings.Contains(part, secret) {
-			kept = append(kept, part)
-		}
-	}
-	return strings.Join(kept, "&")
-}
-
-// WriteAnswer passes a whole answer on.
-func WriteAnswer(w http.ResponseWriter, a *call.Answer) {
+// WriteAnswer passes a whole answer to a request on.
+func WriteAnswer(w http.ResponseWriter, r *http.Request, a *call.Answer) {
 	h := w.Header()
 	for name, values := range a.Header {
 		h[name] = values
 	}
-	for _, name := range hopHeaders {
-		h.Del(name)
+	if hasBody(r.Method, a.Status) {
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body)
+	if hasBody(r.Method, a.Status) {
+		_, _ = w.Write(a.Body)
+	}
+}
+
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- /dev/null
+++ b/internal/api/recovery.go
@@ -0,0 +1,34 @@
+package api
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"runtime/debug"
+
+	"github.com/rs/zerolog/log"
+	"github.com/urfave/negroni/v3"
+
+	"comfreycart.dev/comfreycart/internal/api/problem"
+	"comfreycart.dev/comfreycart/internal/call"
+)
+
+// recovery answers a request whose handler panicked. Neither the answer nor the log
+// holds the panic's value, since that may hold a key.
+func recovery(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+			panic(http.ErrAbortHandler)
+		}
+		log.Error().Str("type", fmt.Sprintf("%T", v)).Bytes("stack", debug.Stack()).Msg("a handler panicked")
+		if rw, ok := w.(negroni.ResponseWriter); ok && rw.Written() {
+			panic(http.ErrAbortHandler)
+		}
+		problem.Write(w, call.Lose(call.Internal, "the node failed while it handled the request"))
+	}()
+	next(w, r)
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -101,6 +101,9 @@
 	Unused int
 	// Overloaded is set when a refusal for overload lies below; it forbids retries above.
 	Overloaded bool
+	// FailedBelow is set when a sub-call failed below, where retries were its own
+	// node's matter; it forbids retries above.
+	FailedBelow bool
 	// Feedback is the serving endpoint's load, nil if the call reached none.
 	Feedback *Feedback
 }
@@ -123,3 +126,8 @@
 func Fail(f *Failure, unused int) Result {
 	return Result{Failure: f, Unused: unused, Overloaded: f.Overload()}
 }
+
+// Failed reports whether the call came to a failure or an answer with a 5xx status.
+func (r *Result) Failed() bool {
+	return r.Answer == nil || r.Answer.Status >= http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/decide/claim/claim.go
@@ -0,0 +1,129 @@
+// Package claim decides whether a non-idempotent request may run, from the claims
+// made before under its key. It does no I/O; the time is passed in.
+package claim
+
+import (
+	"time"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+)
+
+const (
+	// CallerClockMargin is how far a caller's clock may run ahead of a node's.
+	CallerClockMargin = 5 * time.Second
+	// NodeClockMargin is how far the wall clocks of two nodes may differ.
+	NodeClockMargin = time.Second
+	// LapseMargin is how long after its deadline a runner may still report an outcome.
+	LapseMargin = 2 * time.Second
+)
+
+// Key is the hash of an account, a route and an idempotency key.
+type Key [32]byte
+
+// Fingerprint is a hash of what a request asks for.
+type Fingerprint [32]byte
+
+// Token names one attempt of one entry node to run a request.
+type Token [16]byte
+
+// Ask is the question whether a request may run.
+type Ask struct {
+	Key         Key
+	Fingerprint Fingerprint
+	Token       Token
+	// Timeout is the time left to the request.
+	Timeout time.Duration
+	// Window is how long a repeat is recognized.
+	Window time.Duration
+	// Issued is the caller's wall clock when it made the key; zero if unknown.
+	Issued time.Time
+}
+
+// Kind is what a claim came to.
+type Kind uint8
+
+// The kinds of verdicts.
+const (
+	// Granted lets the request run once.
+	Granted Kind = iota
+	// Replay gives the recorded answer.
+	Replay
+	// NotKept means that the request ran to its end and its answer was not kept.
+	NotKept
+	// Running means that an earlier request with the key still runs.
+	Running
+	// Unknown means that an earlier request may have run.
+	Unknown
+	// Mismatch means that the key was used for another request.
+	Mismatch
+	// Full means that there is no room for another record.
+	Full
+	// Future means that the key's issue time lies ahead of the node's clock.
+	Future
+	// Kinds is the number of kinds.
+	Kinds
+)
+
+var kindNames = [Kinds]string{"granted", "replay", "not-kept", "running", "unknown", "mismatch", "full", "future"}
+
+// String returns the kind's name in metrics and messages.
+func (k Kind) String() string {
+	if k >= Kinds {
+		return "invalid"
+	}
+	return kindNames[k]
+}
+
+// ParseKind turns a name into a Kind.
+func ParseKind(name string) (Kind, bool) {
+	for i, n := range kindNames {
+		if n == name {
+			return Kind(i), true
+		}
+	}
+	return Kinds, false
+}
+
+// Verdict answers an Ask.
+type Verdict struct {
+	Kind Kind
+	// Answer is set for Replay.
+	Answer *call.Answer
+}
+
+// Outcome is what a granted request came to.
+type Outcome struct {
+	// Answer is the whole answer, nil if there was none.
+	Answer *call.Answer
+	// NotRun is set when the request is proven not to have run.
+	NotRun bool
+}
+
+// Limits bound the memory of a book.
+type Limits struct {
+	Records int
+	// AnswerBytes bounds one kept answer.
+	AnswerBytes int
+	// TotalBytes bounds all kept answers.
+	TotalBytes int
+}
+
+// Term is a home's time in office.
+type Term struct {
+	// First is set when the slot never had another home.
+	First bool
+	// Began and BeganWall are when the home first acted, on its own clocks.
+	Began     clock.Time
+	BeganWall time.Time
+	// Guard is how long requests claimed under an earlier home are feared.
+	Guard time.Duration
+}
+
+// covers reports whether no earlier home can have granted the key of a.
+func (t *Term) covers(now clock.Time, a *Ask) bool {
+	if t.First || now.Sub(t.Began) >= t.Guard {
+		return true
+	}
+	return a.Issued.After(t.BeganWall.Add(CallerClockMargin + NodeClockMargin))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,6 +83,10 @@
 
 // Run sends an admitted request on its way, with timeout counted from its admission.
 func (g *Gate) Run(ctx context.Context, a *Admission, timeout time.Duration, r *call.Request) call.Result {
+	if g.clock.Now().Sub(a.Begin) >= timeout {
+		f := call.Refuse(call.DeadlinePassed, "the deadline passed before the request was sent on")
+		return call.Fail(f, a.Route.Retries)
+	}
 	c := &call.Call{
 		ID:          call.NewID(),
 		Account:     a.Account,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
+	"comfreycart.dev/comfreycart/internal/system/claims"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/system/homes"
 	"comfreycart.dev/comfreycart/internal/system/membership"
@@ -50,6 +51,7 @@
 	Homes      *homes.Manager
 	Fences     *fence.Table
 	Server     *serve.Server
+	Claims     *claims.Manager
 
 	servers []*http.Server
 	wg      sync.WaitGroup
@@ -134,6 +136,7 @@
 			return
 		case <-tick.C:
 			n.Fences.Expire()
+			n.Claims.Expire()
 		}
 	}
 }
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -38,26 +38,27 @@
 	manager := shares.New(boot)
 	self := provideSelf(c)
 	endpoints := table.NewEndpoints(boot)
+	members := table.NewMembers(boot, endpoints)
+	acceptor := provideAcceptor(c, store)
+	homesManager := homes.New(self, boot, members, current, acceptor, follower, log)
 	source := provideSource(c)
 	client := peer.NewClient(boot, source)
+	claimsManager := claims.New(self, boot, homesManager, client, current, set)
 	calls := table.NewCalls()
 	locals := table.NewLocals()
 	fenceTable := fence.New(boot)
 	server := serve.New(boot, calls, locals, fenceTable, set)
 	dispatcher := dispatch.New(self, boot, endpoints, client, server, set)
-	gate := entry.New(boot, current, follower, manager, dispatcher)
+	runner := claims.NewRunner(claimsManager, dispatcher)
+	gate := entry.New(boot, current, follower, manager, runner)
 	handler := caller.New(gate, set, log)
 	backendHandler := provideBackend(c, boot, current, locals, server)
-	egressHandler := egress.New(boot, current, calls, dispatcher, set, log)
-	acceptor := provideAcceptor(c, store)
-	members := table.NewMembers(boot, endpoints)
+	egressHandler := egress.New(boot, current, calls, runner, set, log)
 	nodeStatus := provideStatus(self, current, follower, members)
 	adminHandler := provideAdmin(c, current, acceptor, nodeStatus, log)
 	options := provideMembershipOptions(c, self)
 	membershipManager := membership.New(options, boot, members, locals, client, store, log)
-	claimsManager := claims.New()
 	peerServer := peer.NewServer(self, boot, log, server, fenceTable, membershipManager, follower, manager, claimsManager)
-	homesManager := homes.New(self, boot, members, current, acceptor, follower, log)
 	node := &Node{
 		Config:     c,
 		Log:        log,
@@ -73,6 +74,7 @@
 		Homes:      homesManager,
 		Fences:     fenceTable,
 		Server:     server,
+		Claims:     claimsManager,
 	}
 	return node
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
@@ -85,6 +86,17 @@
 	return err == nil && reply.NotStarted
 }
 
+// Claim asks the home at address whether a request may run.
+func (c *Client) Claim(ctx context.Context, address string, req *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return c.To(ctx, address).Claim(ctx, req)
+}
+
+// Settle tells the home at address what a claimed request came to.
+func (c *Client) Settle(ctx context.Context, address string, req *peerpb.SettleRequest) error {
+	_, err := c.To(ctx, address).Settle(ctx, req)
+	return err
+}
+
 // sentConn is a pooled connection for one call that notes whether anything may
 // have been sent.
 type sentConn struct {
@@ -116,7 +128,14 @@
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
+// maxMessageBytes bounds a message: the largest body that the settings allow and
+// room for headers.
+const maxMessageBytes = 64<<20 + 1<<20
+
 // managerOptions keeps a connection open when a call on it is cancelled.
 func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{SoftCancel: true}
+	return drpcmanager.Options{
+		SoftCancel: true,
+		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+	}
 }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/call"
@@ -62,14 +63,8 @@
 }
 
 func resultToProto(id call.ID, r call.Result) *peerpb.CallReply {
-	reply := &peerpb.CallReply{Id: id[:], Unused: int32(r.Unused), Overloaded: r.Overloaded}
-	if r.Answer != nil {
-		reply.Answer = &peerpb.Answer{
-			Status:  int32(r.Answer.Status),
-			Headers: headersToProto(r.Answer.Header),
-			Body:    r.Answer.Body,
-		}
-	}
+	reply := &peerpb.CallReply{Id: id[:], Unused: int32(r.Unused), Overloaded: r.Overloaded, FailedBelow: r.FailedBelow}
+	reply.Answer = AnswerToProto(r.Answer)
 	if f := r.Failure; f != nil {
 		reply.Failure = &peerpb.Failure{
 			Reason:       string(f.Reason),
@@ -95,17 +90,10 @@
 	if call.ID(pad(p.Id)) != id || (p.Answer == nil) == (p.Failure == nil) {
 		return call.Result{}, false
 	}
-	r := call.Result{Unused: min(max(int(p.Unused), 0), allowance), Overloaded: p.Overloaded}
-	if a := p.Answer; a != nil {
-		r.Answer = &call.Answer{Status: int(a.Status), Header: headersFromProto(a.Headers), Body: a.Body}
-	}
+	r := call.Result{Unused: min(max(int(p.Unused), 0), allowance), Overloaded: p.Overloaded, FailedBelow: p.FailedBelow}
+	r.Answer = AnswerFromProto(p.Answer)
 	if f := p.Failure; f != nil {
-		r.Failure = &call.Failure{
-			Reason:     call.Reason(f.Reason),
-			Outcome:    call.Outcome(f.Outcome),
-			Detail:     f.Detail,
-			RetryAfter: time.Duration(f.RetryAfterMs) * time.Millisecond,
-		}
+		r.Failure = failureFromProto(f)
 	}
 	if f := p.Feedback; f != nil {
 		r.Feedback = &call.Feedback{
@@ -119,6 +107,40 @@
 	return r, true
 }
 
+// failureFromProto takes a reason or outcome that this version does not know for
+// an internal one with an unknown outcome.
+func failureFromProto(p *peerpb.Failure) *call.Failure {
+	f := &call.Failure{
+		Reason:     call.Reason(p.Reason),
+		Outcome:    call.Outcome(p.Outcome),
+		Detail:     p.Detail,
+		RetryAfter: time.Duration(p.RetryAfterMs) * time.Millisecond,
+	}
+	if !slices.Contains(call.Reasons, f.Reason) {
+		f.Reason = call.Internal
+	}
+	if f.Outcome != call.NotRun {
+		f.Outcome = call.Unknown
+	}
+	return f
+}
+
+// AnswerToProto turns an answer into its message; nil stays nil.
+func AnswerToProto(a *call.Answer) *peerpb.Answer {
+	if a == nil {
+		return nil
+	}
+	return &peerpb.Answer{Status: int32(a.Status), Headers: headersToProto(a.Header), Body: a.Body}
+}
+
+// AnswerFromProto turns a message into an answer; nil stays nil.
+func AnswerFromProto(p *peerpb.Answer) *call.Answer {
+	if p == nil {
+		return nil
+	}
+	return &call.Answer{Status: int(p.Status), Header: headersFromProto(p.Headers), Body: p.Body}
+}
+
 // pad makes a malformed ID comparable; it then equals no real one.
 func pad(id []byte) []byte {
 	if len(id) == len(call.ID{}) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,8 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Since is the first version of the settings that names this owner.
 	Since uint64 `json:"since"`
+	// First is set when the slot never had another owner.
+	First bool `json:"first,omitempty"`
 }
 
 // Deployment is the part that only the deployment's own operators may change.
--- a/internal/system/claims/claims.go
+++ b/internal/system/claims/claims.go
@@ -1,32 +1,100 @@
 // Package claims makes a non-idempotent request run at most once, however often
 // and through whichever nodes its caller repeats it.
+//
+// Each idempotency key has one home in the fleet. The entry node claims the key
+// there before the request runs and reports the outcome afterwards.
 package claims
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
 
 	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/decide/claim"
+	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/system/dispatch"
+	"comfreycart.dev/comfreycart/internal/system/homes"
 )
 
-// Claim is the right to run one request.
-type Claim interface {
-	// Settle records what the request came to.
-	Settle(r call.Result)
+// HeaderKey is the caller's idempotency key.
+const HeaderKey = "Idempotency-Key"
+
+// MaxKeyBytes bounds an idempotency key.
+const MaxKeyBytes = 255
+
+// Homes tells the homes of the slots.
+type Homes interface {
+	// Owner returns the owner of a slot, as far as this node knows.
+	Owner(class string, slot int) (homes.Owner, bool)
+	// Mine reports whether this node may act for a slot now.
+	Mine(class string, slot int) bool
+}
+
+// Peers carries claims to other nodes.
+type Peers interface {
+	Claim(ctx context.Context, address string, req *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
+	Settle(ctx context.Context, address string, req *peerpb.SettleRequest) error
+}
+
+// Views gives the settings in force, nil before the first version.
+type Views interface {
+	View() *settings.View
 }
 
-// Manager takes claims at their homes, and is the home of some.
-type Manager struct{}
+// Manager takes claims at their homes, and is the home of some. It is safe for
+// concurrent use.
+type Manager struct {
+	self   dispatch.Self
+	clock  clock.Clock
+	homes  Homes
+	peers  Peers
+	views  Views
+	metric *metric.Set
+	shelf  shelf
+}
+
+// New returns a manager without claims.
+func New(self dispatch.Self, c clock.Clock, h Homes, p Peers, v Views, m *metric.Set) *Manager {
+	x := &Manager{self: self, clock: c, homes: h, peers: p, views: v, metric: m}
+	m.Gauge("comfreycart_claim_records", func() float64 { return float64(x.records()) })
+	return x
+}
 
-// New returns a manager.
-func New() *Manager { return &Manager{} }
+// keyOf returns the claim's key of a call. Sub-calls at another depth and other
+// routes have claims of their own under the same idempotency key.
+func keyOf(c *call.Call, idempotencyKey string) claim.Key {
+	return claim.Key(digest(c.Account, c.Route, string(rune('0'+c.Depth)), idempotencyKey))
+}
 
-// HandleClaim implements peer.ClaimHome.
-func (m *Manager) HandleClaim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
-	return &peerpb.ClaimReply{}, nil
+func fingerprintOf(r *call.Request) claim.Fingerprint {
+	return claim.Fingerprint(digest(r.Method, r.Path, r.RawQuery, string(r.Body)))
 }
 
-// HandleSettle implements peer.ClaimHome.
-func (m *Manager) HandleSettle(context.Context, *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
-	return &peerpb.SettleReply{}, nil
+// digest hashes parts, each with its length, so that no two lists look alike.
+func digest(parts ...string) [sha256.Size]byte {
+	h := sha256.New()
+	for _, p := range parts {
+		_ = binary.Write(h, binary.BigEndian, uint64(len(p)))
+		_, _ = h.Write([]byte(p))
+	}
+	return [sha256.Size]byte(h.Sum(nil))
 }
+
+// issued returns when a key was made, if it is a UUID of version 7.
+func issued(idempotencyKey string) time.Time {
+	id, err := uuid.Parse(strings.TrimSpace(idempotencyKey))
+	if err != nil || id.Version() != 7 {
+		return time.Time{}
+	}
+	return time.Unix(id.Time().UnixTime())
+}
+
+func slotOf(k claim.Key) int { return homes.Slot(string(k[:])) }
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -53,6 +53,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline.Sub(d.clock.Now()))
 	defer cancel()
 	var last call.Result
+	ran := false
 	tried := map[string]bool{}
 	left := c.Allowance
 	for {
@@ -62,6 +63,10 @@
 		}
 		tried[e.Node] = true
 		last = d.send(ctx, e, c, left)
+		if ran {
+			last = doubt(last)
+		}
+		ran = ran || mayHaveRun(&last)
 		left = last.Unused
 		reason, again := again(ctx, c, &last)
 		if !again || left == 0 {
@@ -93,7 +98,7 @@
 		r = d.peers.Call(ctx, e, &attempt)
 	}
 	if r.Failure != nil && r.Failure.Reason == call.PeerLost {
-		d.settle(ctx, e, attempt.ID, &r)
+		d.settle(ctx, e, &attempt, &r)
 	}
 	if r.Feedback != nil {
 		e.SetFeedback(r.Feedback)
--- a/internal/system/dispatch/retry.go
+++ b/internal/system/dispatch/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/call"
@@ -11,18 +12,52 @@
 // fenceTimeout bounds the question whether a lost call has started.
 const fenceTimeout = 500 * time.Millisecond
 
-// settle asks for proof that a lost call did not run.
-func (d *Dispatcher) settle(ctx context.Context, e *table.Endpoint, id call.ID, r *call.Result) {
+// settle asks for proof that a lost call did not run. A call that is proven not to
+// have run has spent nothing.
+func (d *Dispatcher) settle(ctx context.Context, e *table.Endpoint, attempt *call.Call, r *call.Result) {
+	ended := ctx.Err()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fenceTimeout)
 	defer cancel()
-	if d.peers.Fence(ctx, e, id) {
+	proven := d.peers.Fence(ctx, e, attempt.ID)
+	if proven {
 		r.Failure = call.Refuse(call.Fenced, "the call was fenced before it started")
+		r.Unused = attempt.Allowance
 	}
+	if ended != nil {
+		f := *r.Failure
+		f.Reason = endReason(ended)
+		r.Failure = &f
+	}
+}
+
+// endReason is the reason of a call whose context ended first.
+func endReason(err error) call.Reason {
+	if errors.Is(err, context.Canceled) {
+		return call.Cancelled
+	}
+	return call.DeadlinePassed
+}
+
+// mayHaveRun reports whether an attempt may have reached its backend server.
+func mayHaveRun(r *call.Result) bool {
+	return r.Answer != nil || r.Failure != nil && r.Failure.Outcome != call.NotRun
+}
+
+// doubt takes "not run" back from the last attempt's failure if an earlier attempt
+// may have run.
+func doubt(r call.Result) call.Result {
+	if r.Failure == nil || r.Failure.Outcome != call.NotRun {
+		return r
+	}
+	f := *r.Failure
+	f.Outcome = call.Unknown
+	r.Failure = &f
+	return r
 }
 
 // again decides whether a call may be sent to another endpoint.
 func again(ctx context.Context, c *call.Call, r *call.Result) (call.Reason, bool) {
-	if ctx.Err() != nil || r.Overloaded {
+	if ctx.Err() != nil || r.Overloaded || r.FailedBelow {
 		return "", false
 	}
 	if r.Answer != nil {
--- a/internal/system/homes/homes.go
+++ b/internal/system/homes/homes.go
@@ -88,12 +88,13 @@
 }
 
 // Mine reports whether this node may act for a slot now. Ask right before acting.
+// The first owner of a slot has no predecessor to wait for.
 func (m *Manager) Mine(class string, slot int) bool {
 	home, ok := m.home(class, slot)
 	if !ok || home.Node != m.self.ID || home.Incarnation != m.self.Incarnation {
 		return false
 	}
-	return m.fence.Fenced(home.Since) && m.fence.Fresh() == nil
+	return (home.First || m.fence.Fenced(home.Since)) && m.fence.Fresh() == nil
 }
 
 func (m *Manager) home(class string, slot int) (settings.Home, bool) {
@@ -219,6 +220,7 @@
 		t.Homes = settings.Homes{}
 	}
 	homes := t.Homes[class]
+	first := len(homes) == 0
 	if len(homes) != Slots {
 		homes = make([]settings.Home, Slots)
 	}
@@ -227,7 +229,7 @@
 			continue
 		}
 		id := choose(class+"/"+string(rune('a'+slot)), fit)
-		homes[slot] = settings.Home{Node: id, Incarnation: fit[id].Incarnation, Since: version}
+		homes[slot] = settings.Home{Node: id, Incarnation: fit[id].Incarnation, Since: version, First: first}
 	}
 	t.Homes[class] = homes
 }
--- a/internal/system/serve/exchange.go
+++ b/internal/system/serve/exchange.go
@@ -11,6 +11,7 @@
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/table"
 )
 
 // Headers between a node and its backend servers.
@@ -23,32 +24,43 @@
 
 var errTooLarge = errors.New("answer above the route's limit")
 
+// maxAnswerHeaderBytes bounds the header of an answer.
+const maxAnswerHeaderBytes = 256 << 10
+
 // exchange sends one request on one connection and reads the whole answer. It
 // never sends a request twice.
-func exchange(ctx context.Context, p *pool, clk clock.Clock, c *call.Call, handle string) (*call.Answer, *call.Failure) {
+func exchange(ctx context.Context, p *pool, clk clock.Clock, c *call.Call, handle string) (*http.Response, []byte, *call.Failure) {
 	cn, err := p.get(ctx)
 	if err != nil {
-		return nil, call.Refuse(call.BackendUnreachable, "no connection to the backend server of %s", c.Service)
+		return nil, nil, call.Refuse(call.BackendUnreachable, "no connection to the backend server of %s", c.Service)
 	}
 	before := cn.written.Load()
 	resp, err := cn.RoundTrip(backendRequest(ctx, p.address, clk, c, handle))
 	if err != nil {
 		_ = cn.Close()
 		if cn.written.Load() == before {
-			return nil, call.Refuse(call.BackendUnreachable, "the connection to the backend server of %s was closed", c.Service)
+			return nil, nil, call.Refuse(call.BackendUnreachable, "the connection to the backend server of %s was closed", c.Service)
 		}
-		return nil, lost(ctx, call.BackendLost, c)
+		return nil, nil, lost(ctx, call.BackendLost, c)
+	}
+	if foreign(resp, handle) {
+		_ = cn.Close()
+		return nil, nil, call.Lose(call.BackendLost, "the backend server of %s answered another call", c.Service)
 	}
-	body, err := readWhole(resp, c.AnswerLimit)
+	body, err := readWhole(resp, c.Request.Method, c.AnswerLimit)
 	if err != nil {
 		_ = cn.Close()
-		return nil, bodyFailure(ctx, err, c)
+		return nil, nil, bodyFailure(ctx, err, c)
 	}
 	p.put(cn)
-	if f := shed(resp, c); f != nil {
-		return nil, f
-	}
-	return &call.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return resp, body, nil
+}
+
+// foreign reports whether an answer is none to this call: it names another one, or
+// leaves HTTP.
+func foreign(resp *http.Response, handle string) bool {
+	named := resp.Header.Get(HeaderCall)
+	return named != "" && named != handle || resp.StatusCode == http.StatusSwitchingProtocols
 }
 
 func backendRequest(ctx context.Context, address string, clk clock.Clock, c *call.Call, handle string) *http.Request {
@@ -74,10 +86,10 @@
 }
 
 // readWhole reads an answer whose end is marked; any other is cut.
-func readWhole(resp *http.Response, limit int64) ([]byte, error) {
+func readWhole(resp *http.Response, method string, limit int64) ([]byte, error) {
 	defer resp.Body.Close()
 	chunked := len(resp.TransferEncoding) > 0
-	if resp.ContentLength < 0 && !chunked {
+	if resp.ContentLength < 0 && !chunked && method != http.MethodHead {
 		return nil, io.ErrUnexpectedEOF
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
@@ -108,13 +120,11 @@
 	return call.Lose(reason, "the backend server of %s gave no whole answer", c.Service)
 }
 
-// shed recognizes a refusal by which the backend server promises that it did not run the call.
-func shed(resp *http.Response, c *call.Call) *call.Failure {
-	if resp.StatusCode != http.StatusServiceUnavailable {
-		return nil
-	}
-	if resp.Header.Get(HeaderOutcome) != string(call.NotRun) {
-		return nil
-	}
-	return call.Refuse(call.ShedByBackend, "the backend server of %s shed the call", c.Service)
+// promisedNotRun recognizes an answer by which a backend server promises that it
+// did not run the call. A call that asked for a sub-call did run: its server may
+// only pass on what it was told below.
+func promisedNotRun(resp *http.Response, below table.Below) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable &&
+		resp.Header.Get(HeaderOutcome) == string(call.NotRun) &&
+		!below.Called
 }
--- a/internal/system/serve/pool.go
+++ b/internal/system/serve/pool.go
@@ -53,7 +53,11 @@
 		}
 		return countingConn{c, ctx.Value(counterKey{}).(*atomic.Int64)}, nil
 	}
-	return &pool{address: address, transport: &http.Transport{DialContext: dial, DisableCompression: true}}
+	return &pool{address: address, transport: &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+	}}
 }
 
 // get returns an idle connection or dials one.
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"comfreycart.dev/comfreycart/internal/api"
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/metric"
@@ -53,7 +54,7 @@
 // Deadline must be on this node's clock.
 func (s *Server) Handle(ctx context.Context, c *call.Call) call.Result {
 	if !s.fences.Arrive(c.ID) {
-		return call.Fail(call.Refuse(call.Fenced, "the call was fenced or seen before"), c.Allowance)
+		return s.barred(c)
 	}
 	local, st, f := s.station(c.Service)
 	if f != nil {
@@ -78,6 +79,14 @@
 	return s.run(ctx, st, local, c)
 }
 
+// barred answers a call that was fenced, or is here a second time.
+func (s *Server) barred(c *call.Call) call.Result {
+	if s.fences.Fence(c.ID) {
+		return call.Fail(call.Refuse(call.Fenced, "the call was fenced"), c.Allowance)
+	}
+	return call.Fail(call.Lose(call.Fenced, "the call was here before and started"), 0)
+}
+
 func (s *Server) refused(st *station, c *call.Call, f *call.Failure) call.Result {
 	r := call.Fail(f, c.Allowance)
 	r.Feedback = st.gate.Feedback()
@@ -111,12 +120,17 @@
 	handle, running := s.calls.Open(ctx, c)
 	defer s.calls.Close(handle)
 	begin := s.clock.Now()
-	answer, f := exchange(ctx, st.pool, s.clock, c, handle)
+	resp, body, f := exchange(ctx, st.pool, s.clock, c, handle)
 	metric.Observe(s.metric.Histogram("comfreycart_backend_seconds", "service", local.Service), s.clock.Now().Sub(begin))
-	left, overloaded := running.End()
-	r := call.Result{Answer: answer, Failure: f, Unused: left, Overloaded: overloaded}
-	if f != nil && f.Overload() {
+	left, below := running.End()
+	r := call.Result{Failure: f, Unused: left, Overloaded: below.Overloaded, FailedBelow: below.Failed}
+	switch {
+	case f != nil:
+	case promisedNotRun(resp, below):
+		r.Failure = call.Refuse(call.ShedByBackend, "the backend server of %s shed the call", c.Service)
 		r.Overloaded = true
+	default:
+		r.Answer = &call.Answer{Status: resp.StatusCode, Header: api.AnswerHeader(resp.Header), Body: body}
 	}
 	r.Feedback = st.gate.Feedback()
 	return r
--- a/internal/table/calls.go
+++ b/internal/table/calls.go
@@ -22,18 +22,33 @@
 	// Ctx ends with the call; its sub-calls end with it.
 	Ctx context.Context
 
-	mu         sync.Mutex
-	left       int
-	overloaded bool
+	mu    sync.Mutex
+	left  int
+	ended bool
+	below Below
 }
 
-// TakeAllowance takes part of the retries left, for one sub-call.
-func (r *Running) TakeAllowance() int {
+// Below is what became of a call's sub-calls.
+type Below struct {
+	// Called is set once a sub-call was asked for.
+	Called bool
+	// Overloaded is set when one was refused for overload.
+	Overloaded bool
+	// Failed is set when one came to a failure or an answer with a 5xx status.
+	Failed bool
+}
+
+// TakeAllowance takes part of the retries left, for one sub-call. It refuses once
+// the call has ended.
+func (r *Running) TakeAllowance() (int, *call.Failure) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.ended {
+		return 0, call.Refuse(call.HandleUnknown, "the call of this handle has ended")
+	}
 	take := (r.left + 1) / 2
 	r.left -= take
-	return take
+	return take, nil
 }
 
 // ReturnAllowance gives back retries that a sub-call did not use.
@@ -43,19 +58,41 @@
 	r.left += n
 }
 
+// MarkSubCall records that a sub-call was asked for.
+func (r *Running) MarkSubCall() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.below.Called = true
+}
+
 // MarkOverloaded records that a sub-call was refused for overload.
 func (r *Running) MarkOverloaded() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.overloaded = true
+	r.below.Overloaded = true
+}
+
+// MarkFailed records that a sub-call failed.
+func (r *Running) MarkFailed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.below.Failed = true
+}
+
+// Below returns what became of the sub-calls so far.
+func (r *Running) Below() Below {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.below
 }
 
-// End returns the retries left and whether a sub-call was refused for overload.
-func (r *Running) End() (left int, overloaded bool) {
+// End ends the call and returns the retries left and what became of its sub-calls.
+func (r *Running) End() (left int, below Below) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	left, r.left = r.left, 0
-	return left, r.overloaded
+	r.ended = true
+	return left, r.below
 }
 
 // Calls maps the handles given to local backend servers to their running calls.
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -38,12 +38,24 @@
 	Parallel bool `json:"parallel"`
 	// PassFailure answers 502 when a sub-call fails.
 	PassFailure bool `json:"passFailure"`
+	// PassRefusal passes on the status and outcome of a refused sub-call.
+	PassRefusal bool `json:"passRefusal"`
+	// Header is added to the answers.
+	Header map[string]string `json:"header"`
+	// Unmarked ends the answer's body only by closing the connection.
+	Unmarked bool `json:"unmarked"`
+	// LateAgain sends the answer a second time after so many milliseconds; 0 means never.
+	LateAgain int `json:"lateAgainMs"`
+	// Echo answers with the handle of the call.
+	Echo bool `json:"echo"`
 }
 
 // Sub is one sub-call.
 type Sub struct {
 	Method string `json:"method"`
 	Path   string `json:"path"`
+	// Handle replaces the handle of the running call.
+	Handle string `json:"handle"`
 }
 
 // Entry is one call in the journal.
@@ -206,8 +218,10 @@
 		return
 	}
 	out := Answer{Service: s.service, Path: r.URL.RequestURI(), Echo: string(body), Pad: string(bytes.Repeat([]byte("x"), b.AnswerBytes))}
-	failed := s.subCalls(r, b, &out)
-	s.answer(w, b, out, failed)
+	if b.Echo {
+		w.Header().Set("Comfreycart-Call", r.Header.Get("Comfreycart-Call"))
+	}
+	s.answer(w, b, out, s.subCalls(r, b, &out))
 }
 
 func (s *Server) record(r *http.Request) {
@@ -220,15 +234,24 @@
 	})
 }
 
-func (s *Server) subCalls(r *http.Request, b Behavior, out *Answer) (failed bool) {
-	out.Subs = make([]string, len(b.Subs))
-	oks := make([]bool, len(b.Subs))
+// subAnswer is what a sub-call came to; status 0 means that its answer was lost.
+type subAnswer struct {
+	status  int
+	outcome string
+	body    string
+}
+
+func (a subAnswer) failed() bool { return a.status == 0 || a.status >= 500 }
+
+// subCalls makes the sub-calls and returns the first that failed, if any.
+func (s *Server) subCalls(r *http.Request, b Behavior, out *Answer) *subAnswer {
+	answers := make([]subAnswer, len(b.Subs))
 	var wg sync.WaitGroup
 	for i, sub := range b.Subs {
 		wg.Add(1)
 		run := func() {
 			defer wg.Done()
-			out.Subs[i], oks[i] = s.subCall(r, sub)
+			answers[i] = s.subCall(r, sub)
 		}
 		if b.Parallel {
 			go run()
@@ -237,43 +260,69 @@
 		}
 	}
 	wg.Wait()
-	for _, ok := range oks {
-		failed = failed || !ok
+	var failed *subAnswer
+	for i, a := range answers {
+		out.Subs = append(out.Subs, a.body)
+		if failed == nil && a.failed() {
+			failed = &answers[i]
+		}
 	}
 	return failed
 }
 
-func (s *Server) subCall(r *http.Request, sub Sub) (string, bool) {
+func (s *Server) subCall(r *http.Request, sub Sub) subAnswer {
 	s.mu.Lock()
 	egress := s.egress
 	s.mu.Unlock()
 	req, err := http.NewRequestWithContext(r.Context(), sub.Method, egress+sub.Path, nil)
 	if err != nil {
-		return err.Error(), false
+		return subAnswer{body: err.Error()}
 	}
-	req.Header.Set("Comfreycart-Call", r.Header.Get("Comfreycart-Call"))
+	handle := sub.Handle
+	if handle == "" {
+		handle = r.Header.Get("Comfreycart-Call")
+	}
+	req.Header.Set("Comfreycart-Call", handle)
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return "lost", false
+		return subAnswer{body: "lost"}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return "lost", false
+		return subAnswer{body: "lost"}
 	}
-	return string(body), resp.StatusCode < 500
+	return subAnswer{status: resp.StatusCode, outcome: resp.Header.Get("Comfreycart-Outcome"), body: string(body)}
 }
 
-func (s *Server) answer(w http.ResponseWriter, b Behavior, out Answer, failed bool) {
+func (s *Server) answer(w http.ResponseWriter, b Behavior, out Answer, failed *subAnswer) {
 	status := b.Status
 	if status == 0 {
 		status = http.StatusOK
 	}
-	if failed && b.PassFailure {
+	if failed != nil && b.PassFailure {
 		status = http.StatusBadGateway
 	}
+	if failed != nil && b.PassRefusal {
+		status = failed.status
+		w.Header().Set("Comfreycart-Outcome", failed.outcome)
+	}
+	for name, value := range b.Header {
+		w.Header().Set(name, value)
+	}
 	body, _ := json.Marshal(out)
 	w.Header().Set("Content-Type", "application/json")
+	switch {
+	case b.Unmarked:
+		raw(w, status, body, 0, false)
+	case b.LateAgain > 0:
+		raw(w, status, body, time.Duration(b.LateAgain)*time.Millisecond, true)
+	default:
+		write(w, b, status, body)
+	}
+}
+
+func write(w http.ResponseWriter, b Behavior, status int, body []byte) {
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 	w.WriteHeader(status)
 	if b.Truncate {
@@ -283,3 +332,27 @@
 	}
 	_, _ = w.Write(body)
 }
+
+// raw writes an answer past net/http: without a length, or twice.
+func raw(w http.ResponseWriter, status int, body []byte, again time.Duration, marked bool) {
+	header := w.Header().Clone()
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if marked {
+		header.Set("Content-Length", fmt.Sprint(len(body)))
+	}
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = header.Write(&text)
+	text.WriteString("\r\n")
+	text.Write(body)
+	_, _ = c.Write(text.Bytes())
+	if again > 0 {
+		time.Sleep(again)
+		_, _ = c.Write(text.Bytes())
+		time.Sleep(time.Second)
+	}
+}
