Property test of claims over losses, delays, repeats, pauses and changes of home

Cause: a release that reached a new home before its claim was taken for proof that the key had not run under the home before. Found by the property test. Change: such a release bars its own token only. Ruled out by mutation: the test fails when undated keys are trusted, when keys from the future are taken, when a repeat is granted while the first runs, and with the old release.

--- a/internal/decide/claim/book.go
+++ b/internal/decide/claim/book.go
@@ -23,6 +23,9 @@
 	fingerprint Fingerprint
 	token       Token
 	state       state
+	// taken is set once the key was granted; a release may come before its claim,
+	// and proves nothing about other claims.
+	taken bool
 	// lapse is when a runner that reported nothing is given up.
 	lapse clock.Time
 	// expires is when the record may be forgotten.
@@ -54,19 +57,26 @@
 // Take decides on a request; wall is the home's wall clock.
 func (b *Book) Take(now clock.Time, wall time.Time, a *Ask) Verdict {
 	b.Expire(now)
-	if r := b.records[a.Key]; r != nil {
+	r := b.records[a.Key]
+	if r != nil && r.taken {
 		return b.meet(now, r, a)
 	}
+	if r != nil && r.token == a.Token {
+		return Verdict{Kind: Unknown}
+	}
 	if a.Issued.After(wall.Add(CallerClockMargin)) {
 		return Verdict{Kind: Future}
 	}
 	if !b.term.covers(now, a) {
 		return Verdict{Kind: Unknown}
 	}
-	if len(b.records) >= b.limits.Records {
+	if r == nil && len(b.records) >= b.limits.Records {
 		return Verdict{Kind: Full}
 	}
-	b.grant(now, &record{key: a.Key}, a)
+	if r == nil {
+		r = &record{key: a.Key}
+	}
+	b.grant(now, r, a)
 	return Verdict{Kind: Granted}
 }
 
@@ -108,6 +118,7 @@
 	r.fingerprint = a.Fingerprint
 	r.token = a.Token
 	r.state = running
+	r.taken = true
 	r.window = a.Window
 	r.lapse = now.Add(a.Timeout + LapseMargin)
 	b.touch(r, r.lapse)
