--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -20,6 +21,8 @@
 type Behavior struct {
 	// DelayMs is the time a call holds its slot, in milliseconds.
 	DelayMs int `json:"delayMs"`
+	// JitterMs adds a random time up to this, in milliseconds.
+	JitterMs int `json:"jitterMs"`
 	// Status of the answers; 0 means 200.
 	Status int `json:"status"`
 	// AnswerBytes pads the answer to so many bytes.
@@ -208,8 +211,9 @@
 	}
 	s.record(r)
 	b := s.now()
+	delay := b.DelayMs + rand.IntN(b.JitterMs+1)
 	select {
-	case <-time.After(time.Duration(b.DelayMs) * time.Millisecond):
+	case <-time.After(time.Duration(delay) * time.Millisecond):
 	case <-r.Context().Done():
 		return
 	}
