--- a/internal/system/serve/exchange.go
+++ b/internal/system/serve/exchange.go
@@ -43,7 +43,7 @@
 		}
 		return nil, nil, lost(ctx, call.BackendLost, c)
 	}
-	if foreign(resp, handle) {
+	if p.foreign(resp, handle) {
 		_ = cn.Close()
 		return nil, nil, call.Lose(call.BackendLost, "the backend server of %s answered another call", c.Service)
 	}
@@ -56,11 +56,18 @@
 	return resp, body, nil
 }
 
-// foreign reports whether an answer is none to this call: it names another one, or
-// leaves HTTP.
-func foreign(resp *http.Response, handle string) bool {
+// foreign reports whether an answer is none to this call: it leaves HTTP, names
+// another call, or names none although the backend server does so otherwise.
+func (p *pool) foreign(resp *http.Response, handle string) bool {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return true
+	}
 	named := resp.Header.Get(HeaderCall)
-	return named != "" && named != handle || resp.StatusCode == http.StatusSwitchingProtocols
+	if named == handle {
+		p.names.Store(true)
+		return false
+	}
+	return named != "" || p.names.Load()
 }
 
 func backendRequest(ctx context.Context, address string, clk clock.Clock, c *call.Call, handle string) *http.Request {
--- a/internal/system/serve/pool.go
+++ b/internal/system/serve/pool.go
@@ -39,6 +39,8 @@
 type pool struct {
 	address   string
 	transport *http.Transport
+	// names is set once the backend server named a call in its answer.
+	names atomic.Bool
 
 	mu   sync.Mutex
 	idle []*conn
--- a/test/script/once_test.go
+++ b/test/script/once_test.go
@@ -27,13 +27,14 @@
 //	                     set the variable to the last call's handle in a journal
 //	mixed NODE PREFIX N KEY
 //	                     send N different requests at once and match the answers
-//	sent                 print how many calls all backend servers got
+//	escape VARIABLE TEXT set the variable to the text with every byte percent-encoded
+//	sent LOW HIGH        check how many calls the backend servers got since the last check
 //	crash NAME..         kill processes (the language's own kill is another command)
 //	raw NODE TEXT [cut]  send raw bytes to the caller listener and print the answer
 var onceCommands = map[string]command{
 	"storm": stormCmd, "endstorm": endStormCmd, "subcall": subCallCmd,
 	"handle": handleCmd, "sent": sentCmd, "raw": rawCmd, "crash": killCmd,
-	"mixed": mixedCmd,
+	"mixed": mixedCmd, "escape": escapeCmd,
 }
 
 func init() {
@@ -201,7 +202,27 @@
 	return "", nil
 }
 
-func sentCmd(f *fleet, _ *testscript.TestScript, _ []string) (string, error) {
+func escapeCmd(_ *fleet, ts *testscript.TestScript, args []string) (string, error) {
+	var b strings.Builder
+	for _, c := range []byte(args[1]) {
+		fmt.Fprintf(&b, "%%%02x", c)
+	}
+	ts.Setenv(args[0], b.String())
+	return "", nil
+}
+
+// counted holds how many calls each fleet had got at its last check.
+var counted sync.Map
+
+func sentCmd(f *fleet, _ *testscript.TestScript, args []string) (string, error) {
+	low, err := strconv.Atoi(args[0])
+	if err != nil {
+		return "", err
+	}
+	high, err := strconv.Atoi(args[1])
+	if err != nil {
+		return "", err
+	}
 	total := 0
 	for place := range f.backends {
 		node, service, _ := strings.Cut(place, "/")
@@ -211,6 +232,13 @@
 		}
 		total += len(entries)
 	}
+	before, _ := counted.Swap(f.prefix, total)
+	if before != nil {
+		total -= before.(int)
+	}
+	if total < low || total > high {
+		return "", fmt.Errorf("%d calls were sent, want %d to %d", total, low, high)
+	}
 	return fmt.Sprintf("sent: %d\n", total), nil
 }
 
--- a/test/standin/main.go
+++ b/test/standin/main.go
@@ -26,17 +26,18 @@
 }
 
 type backendCmd struct {
-	Node    string   `required:"" help:"URL of the node's backend listener."`
-	Service string   `required:"" help:"Service to announce."`
-	Listen  string   `required:"" help:"IP:port to listen at."`
-	Slots   int      `default:"8" help:"Calls that run at a time."`
-	DelayMs int      `help:"Time that a call holds its slot, in milliseconds."`
-	Sub     []string `help:"Sub-call of each call, as METHOD:PATH."`
+	Node        string   `required:"" help:"URL of the node's backend listener."`
+	Service     string   `required:"" help:"Service to announce."`
+	Listen      string   `required:"" help:"IP:port to listen at."`
+	Slots       int      `default:"8" help:"Calls that run at a time."`
+	DelayMs     int      `help:"Time that a call holds its slot, in milliseconds."`
+	Sub         []string `help:"Sub-call of each call, as METHOD:PATH."`
+	PassFailure bool     `help:"Answer 502 when a sub-call fails."`
 }
 
 // Run serves the backend stand-in; on SIGTERM it announces that it drains first.
 func (c *backendCmd) Run() error {
-	b := backend.Behavior{DelayMs: c.DelayMs}
+	b := backend.Behavior{DelayMs: c.DelayMs, PassFailure: c.PassFailure}
 	for _, s := range c.Sub {
 		method, path, _ := strings.Cut(s, ":")
 		b.Subs = append(b.Subs, backend.Sub{Method: method, Path: path})
