--- a/test/script/once_test.go
+++ b/test/script/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -20,6 +21,7 @@
 //
 //	storm NAME RATE REPEATS NODES METHOD PATH [key=..] ..
 //	                     start requests, each sent REPEATS times at once under one key
+//	again NAME NODES     send each request of an ended storm once more
 //	endstorm NAME        end it and compare what came back with the backend servers' journals
 //	subcall NODE METHOD PATH HANDLE
 //	                     send a sub-call to the node's egress listener
@@ -34,7 +36,7 @@
 var onceCommands = map[string]command{
 	"storm": stormCmd, "endstorm": endStormCmd, "subcall": subCallCmd,
 	"handle": handleCmd, "sent": sentCmd, "raw": rawCmd, "crash": killCmd,
-	"mixed": mixedCmd, "escape": escapeCmd,
+	"again": againCmd, "mixed": mixedCmd, "escape": escapeCmd,
 }
 
 func init() {
@@ -48,6 +50,7 @@
 type storm struct {
 	traffic *traffic
 	repeats int
+	request request
 
 	mu      sync.Mutex
 	results map[string][]outcome
@@ -76,7 +79,7 @@
 	if err != nil {
 		return "", err
 	}
-	s := &storm{repeats: repeats, results: map[string][]outcome{}}
+	s := &storm{repeats: repeats, request: q, results: map[string][]outcome{}}
 	s.traffic = &traffic{stop: make(chan struct{})}
 	s.traffic.wg.Add(1)
 	go s.run(q, urls, time.Duration(float64(time.Second)/rate))
@@ -114,6 +117,27 @@
 	s.results[q.idempotency] = append(s.results[q.idempotency], out)
 }
 
+func againCmd(f *fleet, _ *testscript.TestScript, args []string) (string, error) {
+	x, ok := storms.Load(f.prefix + args[0])
+	if !ok {
+		return "", fmt.Errorf("no storm %s", args[0])
+	}
+	s := x.(*storm)
+	s.traffic.finish()
+	nodes := strings.Split(args[1], ",")
+	for i, key := range slices.Collect(maps.Keys(s.results)) {
+		n, err := f.node(nodes[i%len(nodes)])
+		if err != nil {
+			return "", err
+		}
+		q := s.request
+		q.url, q.idempotency = "http://"+n.Listen.Caller, key
+		s.traffic.wg.Add(1)
+		s.one(q)
+	}
+	return "", nil
+}
+
 func endStormCmd(f *fleet, _ *testscript.TestScript, args []string) (string, error) {
 	x, ok := storms.Load(f.prefix + args[0])
 	if !ok {
