Claims' memory bounded per node; unit tests of retries and of the callers' messages

Cause: bounds per slot let one home of all slots pass the node's 256 MB; the outcome of a large answer was sent whole to its home.

--- a/internal/decide/claim/book.go
+++ b/internal/decide/claim/book.go
@@ -39,16 +39,15 @@
 // concurrent use.
 type Book struct {
 	term    Term
-	limits  Limits
+	budget  *Budget
 	records map[Key]*record
 	// order holds the records by their last change, oldest first.
 	order *list.List
-	bytes int
 }
 
 // NewBook returns an empty book.
-func NewBook(t Term, l Limits) *Book {
-	return &Book{term: t, limits: l, records: map[Key]*record{}, order: list.New()}
+func NewBook(t Term, b *Budget) *Book {
+	return &Book{term: t, budget: b, records: map[Key]*record{}, order: list.New()}
 }
 
 // Len returns the number of records.
@@ -70,7 +69,7 @@
 	if !b.term.covers(now, a) {
 		return Verdict{Kind: Unknown}
 	}
-	if r == nil && len(b.records) >= b.limits.Records {
+	if r == nil && !b.budget.takeRecord() {
 		return Verdict{Kind: Full}
 	}
 	if r == nil {
@@ -135,7 +134,7 @@
 		return false
 	}
 	switch {
-	case o.Answer != nil:
+	case o.Done:
 		r.state = done
 		b.keep(r, o.Answer)
 	case o.NotRun:
@@ -150,7 +149,7 @@
 // bury remembers a release whose claim did not arrive yet, so that the claim is
 // not granted to a runner that gave up.
 func (b *Book) bury(now clock.Time, a *Ask, o Outcome) bool {
-	if !o.NotRun || len(b.records) >= b.limits.Records {
+	if !o.NotRun || !b.budget.takeRecord() {
 		return false
 	}
 	r := &record{key: a.Key, token: a.Token, state: released, window: a.Window}
@@ -160,12 +159,10 @@
 
 // keep stores an answer if there is room for it.
 func (b *Book) keep(r *record, a *call.Answer) {
-	size := answerSize(a)
-	if size > b.limits.AnswerBytes || b.bytes+size > b.limits.TotalBytes {
+	if a == nil || AnswerSize(a) > MaxAnswerBytes || !b.budget.takeBytes(AnswerSize(a)) {
 		return
 	}
 	r.answer = a
-	b.bytes += size
 }
 
 // touch files a record as the last changed one; it is kept for its window after from.
@@ -188,19 +185,15 @@
 		}
 		b.order.Remove(e)
 		delete(b.records, r.key)
-		if r.answer != nil {
-			b.bytes -= answerSize(r.answer)
-		}
+		b.budget.give(r)
 	}
 }
 
-func answerSize(a *call.Answer) int {
-	n := len(a.Body)
-	for name, values := range a.Header {
-		n += len(name)
-		for _, v := range values {
-			n += len(v)
-		}
+// Close forgets all records at the end of a term.
+func (b *Book) Close() {
+	for _, r := range b.records {
+		b.budget.give(r)
 	}
-	return n
+	clear(b.records)
+	b.order.Init()
 }
--- a/internal/decide/claim/book_test.go
+++ b/internal/decide/claim/book_test.go
@@ -33,7 +33,7 @@
 	wallZero    = 1_800_000_000
 )
 
-var testLimits = Limits{Records: 100, AnswerBytes: 100, TotalBytes: 1000}
+func testBudget() *Budget { return NewBudget(100, MaxAnswerBytes) }
 
 // world is a schedule of repeats of one key, homes that change, and messages that
 // are lost or late.
@@ -70,7 +70,7 @@
 	w.book = NewBook(Term{
 		First: first, Began: clock.Time(w.now), BeganWall: w.wall(w.homeSkew),
 		Guard: testWindow + testTimeout + LapseMargin,
-	}, testLimits)
+	}, testBudget())
 }
 
 func (w *world) repeat() {
@@ -126,7 +126,7 @@
 	r.gone = true
 	out := Outcome{NotRun: !r.ran}
 	if r.ran && rapid.Bool().Draw(w.t, "answered") {
-		out.Answer = &call.Answer{Status: 200}
+		out.Done, out.Answer = true, &call.Answer{Status: 200}
 	}
 	if rapid.Bool().Draw(w.t, "report arrives") {
 		w.book.Settle(clock.Time(w.now), &r.ask, out)
@@ -185,7 +185,7 @@
 	answer := &call.Answer{Status: 201, Body: []byte("done")}
 	other := ask(2)
 	other.Fingerprint[0] = 1
-	large := &call.Answer{Status: 200, Body: make([]byte, testLimits.AnswerBytes+1)}
+	large := &call.Answer{Status: 200, Body: make([]byte, MaxAnswerBytes+1)}
 	for _, x := range []struct {
 		name  string
 		out   *Outcome
@@ -196,8 +196,8 @@
 		{"a repeat while it runs", nil, 0, ask(2), Running},
 		{"the runner asks again", nil, 0, ask(1), Granted},
 		{"the runner reported nothing", nil, testTimeout + LapseMargin, ask(2), Unknown},
-		{"an answer is replayed", &Outcome{Answer: answer}, time.Second, ask(2), Replay},
-		{"an answer too large to keep", &Outcome{Answer: large}, 0, ask(2), NotKept},
+		{"an answer is replayed", &Outcome{Done: true, Answer: answer}, time.Second, ask(2), Replay},
+		{"an answer too large to keep", &Outcome{Done: true, Answer: large}, 0, ask(2), NotKept},
 		{"a request that did not run may run", &Outcome{NotRun: true}, 0, ask(2), Granted},
 		{"who gave up does not run", &Outcome{NotRun: true}, 0, ask(1), Unknown},
 		{"an unknown outcome stays unknown", &Outcome{}, testWindow - 1, ask(2), Unknown},
@@ -205,7 +205,7 @@
 		{"another request", nil, 0, other, Mismatch},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			b := NewBook(Term{First: true}, testLimits)
+			b := NewBook(Term{First: true}, testBudget())
 			require.Equal(t, Granted, b.Take(0, wall, ask(1)).Kind)
 			if x.out != nil {
 				require.True(t, b.Settle(0, ask(1), *x.out))
@@ -216,14 +216,14 @@
 }
 
 func TestALateClaimOfOneWhoGaveUp(t *testing.T) {
-	b := NewBook(Term{First: true}, testLimits)
+	b := NewBook(Term{First: true}, testBudget())
 	require.True(t, b.Settle(0, ask(1), Outcome{NotRun: true}))
 	require.Equal(t, Unknown, b.Take(0, time.Unix(wallZero, 0), ask(1)).Kind)
 	require.Equal(t, Granted, b.Take(0, time.Unix(wallZero, 0), ask(2)).Kind)
 }
 
 func TestAFullBookRefusesAndForgetsNothing(t *testing.T) {
-	b := NewBook(Term{First: true}, Limits{Records: 1})
+	b := NewBook(Term{First: true}, NewBudget(1, 0))
 	require.Equal(t, Granted, b.Take(0, time.Time{}, ask(1)).Kind)
 	next := ask(2)
 	next.Key[0] = 1
@@ -231,6 +231,19 @@
 	require.Equal(t, Running, b.Take(0, time.Time{}, ask(2)).Kind)
 }
 
+func TestABudgetIsGivenBack(t *testing.T) {
+	budget := NewBudget(1, 100)
+	b := NewBook(Term{First: true}, budget)
+	require.Equal(t, Granted, b.Take(0, time.Time{}, ask(1)).Kind)
+	require.True(t, b.Settle(0, ask(1), Outcome{Done: true, Answer: &call.Answer{Body: make([]byte, 60)}}))
+	b.Expire(clock.Time(testWindow))
+	require.Zero(t, budget.records.Load())
+	require.Zero(t, budget.bytes.Load())
+	require.Equal(t, Granted, b.Take(0, time.Time{}, ask(1)).Kind)
+	b.Close()
+	require.Zero(t, budget.records.Load())
+}
+
 func TestANewHomeRunsOnlyKeysIssuedInItsTerm(t *testing.T) {
 	wall := time.Unix(wallZero, 0)
 	term := Term{BeganWall: wall, Guard: testWindow}
@@ -248,6 +261,6 @@
 	} {
 		a := ask(1)
 		a.Issued = x.issued
-		require.Equal(t, x.want, NewBook(term, testLimits).Take(clock.Time(x.now), wall.Add(x.now), a).Kind, "%+v", x)
+		require.Equal(t, x.want, NewBook(term, testBudget()).Take(clock.Time(x.now), wall.Add(x.now), a).Kind, "%+v", x)
 	}
 }
--- a/internal/decide/claim/claim.go
+++ b/internal/decide/claim/claim.go
@@ -3,6 +3,7 @@
 package claim
 
 import (
+	"sync/atomic"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/call"
@@ -94,19 +95,64 @@
 
 // Outcome is what a granted request came to.
 type Outcome struct {
-	// Answer is the whole answer, nil if there was none.
+	// Done is set when the request got a whole answer.
+	Done bool
+	// Answer is that answer, nil if it is not to be kept.
 	Answer *call.Answer
 	// NotRun is set when the request is proven not to have run.
 	NotRun bool
 }
 
-// Limits bound the memory of a book.
-type Limits struct {
-	Records int
-	// AnswerBytes bounds one kept answer.
-	AnswerBytes int
-	// TotalBytes bounds all kept answers.
-	TotalBytes int
+// MaxAnswerBytes bounds one kept answer, headers included.
+const MaxAnswerBytes = 32 << 10
+
+// Budget bounds the memory of all books of a node. It is safe for concurrent use.
+type Budget struct {
+	maxRecords, maxBytes int64
+	records, bytes       atomic.Int64
+}
+
+// NewBudget returns a budget for so many records and bytes of answers.
+func NewBudget(records, bytes int64) *Budget {
+	return &Budget{maxRecords: records, maxBytes: bytes}
+}
+
+// Records returns how many records there are.
+func (b *Budget) Records() int64 { return b.records.Load() }
+
+func (b *Budget) takeRecord() bool {
+	if b.records.Add(1) > b.maxRecords {
+		b.records.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (b *Budget) takeBytes(n int64) bool {
+	if b.bytes.Add(n) > b.maxBytes {
+		b.bytes.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (b *Budget) give(r *record) {
+	b.records.Add(-1)
+	if r.answer != nil {
+		b.bytes.Add(-AnswerSize(r.answer))
+	}
+}
+
+// AnswerSize returns the size of an answer with its headers, in bytes.
+func AnswerSize(a *call.Answer) int64 {
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return int64(n)
 }
 
 // Term is a home's time in office.
--- a/internal/system/claims/claims.go
+++ b/internal/system/claims/claims.go
@@ -64,7 +64,8 @@
 // New returns a manager without claims.
 func New(self dispatch.Self, c clock.Clock, h Homes, p Peers, v Views, m *metric.Set) *Manager {
 	x := &Manager{self: self, clock: c, homes: h, peers: p, views: v, metric: m}
-	m.Gauge("comfreycart_claim_records", func() float64 { return float64(x.records()) })
+	x.shelf.budget = claim.NewBudget(maxRecords, maxAnswerBytes)
+	m.Gauge("comfreycart_claim_records", func() float64 { return float64(x.shelf.budget.Records()) })
 	return x
 }
 
--- a/internal/system/claims/entry.go
+++ b/internal/system/claims/entry.go
@@ -54,8 +54,8 @@
 
 // once claims the key before it runs c.
 func (m *Manager) once(ctx context.Context, c *call.Call, idempotencyKey string, next Dispatcher) call.Result {
-	if len(idempotencyKey) > MaxKeyBytes {
-		return call.Fail(call.Refuse(call.BadRequest, "%s exceeds %d bytes", HeaderKey, MaxKeyBytes), c.Allowance)
+	if len(idempotencyKey) > MaxKeyBytes || len(c.Request.Header.Values(HeaderKey)) > 1 {
+		return call.Fail(call.Refuse(call.BadRequest, "want one %s of at most %d bytes", HeaderKey, MaxKeyBytes), c.Allowance)
 	}
 	a := &claim.Ask{
 		Key:         keyOf(c, idempotencyKey),
@@ -82,11 +82,16 @@
 	m.metric.Counter("comfreycart_claims_total", "result", result).Inc()
 }
 
+// outcomeOf returns what the home is told; an answer too large to keep stays here.
 func outcomeOf(r call.Result) claim.Outcome {
-	return claim.Outcome{
-		Answer: r.Answer,
+	out := claim.Outcome{
+		Done:   r.Answer != nil,
 		NotRun: r.Failure != nil && r.Failure.Outcome == call.NotRun,
 	}
+	if out.Done && claim.AnswerSize(r.Answer) <= claim.MaxAnswerBytes {
+		out.Answer = r.Answer
+	}
+	return out
 }
 
 // ask puts the question to the key's home until one answers or time is up. The
@@ -156,7 +161,7 @@
 		m.settle(&claim.Ask{Key: a.Key, Token: a.Token, Window: m.window()}, out)
 		return
 	}
-	req := &peerpb.SettleRequest{Key: a.Key[:], Token: a.Token[:], NotRun: out.NotRun, Answer: peer.AnswerToProto(out.Answer)}
+	req := &peerpb.SettleRequest{Key: a.Key[:], Token: a.Token[:], NotRun: out.NotRun, Done: out.Done, Answer: peer.AnswerToProto(out.Answer)}
 	for range settleTries {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		err := m.peers.Settle(ctx, o.Address, req)
--- a/internal/system/claims/home.go
+++ b/internal/system/claims/home.go
@@ -13,8 +13,11 @@
 	"comfreycart.dev/comfreycart/internal/system/homes"
 )
 
-// limits bound the records of one slot.
-var limits = claim.Limits{Records: 200_000, AnswerBytes: 32 << 10, TotalBytes: 32 << 20}
+// Bounds of the memory of all slots together.
+const (
+	maxRecords     = 250_000
+	maxAnswerBytes = 48 << 20
+)
 
 // maxJoined bounds the repeats that wait at a slot for an earlier request.
 const maxJoined = 1024
@@ -24,7 +27,8 @@
 
 // shelf holds the records of the slots whose home this node is.
 type shelf struct {
-	slots [homes.Slots]slot
+	budget *claim.Budget
+	slots  [homes.Slots]slot
 }
 
 // slot holds the records of one slot during one term.
@@ -68,7 +72,7 @@
 		return &peerpb.SettleReply{}, nil
 	}
 	ask := &claim.Ask{Key: claim.Key(req.Key), Token: claim.Token(req.Token), Window: m.window()}
-	m.settle(ask, claim.Outcome{Answer: peer.AnswerFromProto(req.Answer), NotRun: req.NotRun})
+	m.settle(ask, claim.Outcome{Done: req.Done, Answer: peer.AnswerFromProto(req.Answer), NotRun: req.NotRun})
 	return &peerpb.SettleReply{}, nil
 }
 
@@ -113,8 +117,11 @@
 		return false
 	}
 	if s.book == nil || s.since != owner.Since {
+		if s.book != nil {
+			s.book.Close()
+		}
 		s.since = owner.Since
-		s.book = claim.NewBook(m.term(owner), limits)
+		s.book = claim.NewBook(m.term(owner), m.shelf.budget)
 	}
 	return true
 }
@@ -201,20 +208,6 @@
 	return settings.DefaultIdempotencyWindow
 }
 
-// records returns how many keys this node is the home of.
-func (m *Manager) records() int {
-	n := 0
-	for i := range m.shelf.slots {
-		s := &m.shelf.slots[i]
-		s.mu.Lock()
-		if s.book != nil {
-			n += s.book.Len()
-		}
-		s.mu.Unlock()
-	}
-	return n
-}
-
 // Expire forgets records whose window has passed.
 func (m *Manager) Expire() {
 	for i := range m.shelf.slots {
--- /dev/null
+++ b/internal/system/dispatch/retry_test.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+// fakePeers answers the attempts of one call in turn.
+type fakePeers struct {
+	results []call.Result
+	fenced  bool
+	sent    int
+}
+
+func (p *fakePeers) Call(context.Context, *table.Endpoint, *call.Call) call.Result {
+	p.sent++
+	return p.results[p.sent-1]
+}
+
+func (p *fakePeers) Fence(context.Context, *table.Endpoint, call.ID) bool { return p.fenced }
+
+func do(t *testing.T, p *fakePeers, idempotent bool) call.Result {
+	clk := clock.Boot{}
+	endpoints := table.NewEndpoints(clk)
+	members := table.NewMembers(clk, endpoints)
+	for _, id := range []string{"b", "c", "d"} {
+		members.Merge(table.Member{
+			ID: id, Incarnation: 1, State: table.Alive,
+			Endpoints: []table.MemberEndpoint{{Service: "s", Slots: 1, State: table.Ready}},
+		})
+	}
+	d := New(Self{ID: "a"}, clk, endpoints, p, nil, metric.NewSet())
+	return d.Do(t.Context(), &call.Call{
+		Service: "s", Idempotent: idempotent, Allowance: 2, Deadline: clk.Now().Add(time.Minute),
+	})
+}
+
+var (
+	lostResult    = call.Result{Failure: call.Lose(call.PeerLost, "lost")}
+	refusedResult = call.Fail(call.Refuse(call.Draining, "draining"), 1)
+)
+
+// An earlier attempt may have run, so the last one's refusal does not say not-run.
+func TestALaterRefusalDoesNotHideAnEarlierRun(t *testing.T) {
+	for _, first := range []call.Result{
+		{Failure: call.Lose(call.BackendLost, "lost"), Unused: 2},
+		{Answer: &call.Answer{Status: 500}, Unused: 2},
+	} {
+		p := &fakePeers{results: []call.Result{first, refusedResult, call.Fail(call.Refuse(call.QueueFull, "full"), 0)}}
+		r := do(t, p, true)
+		require.Equal(t, 3, p.sent)
+		require.Equal(t, call.QueueFull, r.Failure.Reason)
+		require.Equal(t, call.Unknown, r.Failure.Outcome)
+	}
+}
+
+// A proven fence spends nothing but the retry itself.
+func TestAProvenFenceAllowsARetry(t *testing.T) {
+	p := &fakePeers{results: []call.Result{lostResult, {Answer: &call.Answer{Status: 200}}}, fenced: true}
+	r := do(t, p, false)
+	require.Equal(t, 200, r.Answer.Status)
+	require.Equal(t, 2, p.sent)
+}
+
+func TestANonIdempotentCallIsNotSentAgainWithoutProof(t *testing.T) {
+	p := &fakePeers{results: []call.Result{lostResult}}
+	r := do(t, p, false)
+	require.Equal(t, 1, p.sent)
+	require.Equal(t, call.Unknown, r.Failure.Outcome)
+}
+
+func TestAFailureBelowIsNotRetriedAbove(t *testing.T) {
+	p := &fakePeers{results: []call.Result{{Answer: &call.Answer{Status: 502}, Unused: 2, FailedBelow: true}}}
+	require.Equal(t, 502, do(t, p, true).Answer.Status)
+	require.Equal(t, 1, p.sent)
+}
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -130,12 +132,21 @@
 		r.Failure = call.Refuse(call.ShedByBackend, "the backend server of %s shed the call", c.Service)
 		r.Overloaded = true
 	default:
-		r.Answer = &call.Answer{Status: resp.StatusCode, Header: api.AnswerHeader(resp.Header), Body: body}
+		r.Answer = answerOf(resp, c.Request.Method, body)
 	}
 	r.Feedback = st.gate.Feedback()
 	return r
 }
 
+// answerOf returns the answer as it is passed on; one to HEAD keeps its length.
+func answerOf(resp *http.Response, method string, body []byte) *call.Answer {
+	header := api.AnswerHeader(resp.Header)
+	if method == http.MethodHead && resp.ContentLength >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	return &call.Answer{Status: resp.StatusCode, Header: header, Body: body}
+}
+
 // Gauges registers the gauges of a service's gate.
 func (s *Server) Gauges(service string) {
 	load := func(pick func(*call.Feedback) uint32) func() float64 {
--- a/test/script/bench_test.go
+++ b/test/script/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 )
 
@@ -34,6 +35,34 @@
 	report(b, d, a)
 }
 
+// BenchmarkClaimLatency compares keyed non-idempotent requests with lookups of the
+// same work through the same nodes, taken in turns in one run.
+func BenchmarkClaimLatency(b *testing.B) {
+	f := newFleet(b.TempDir())
+	f.direct = true
+	defer f.close()
+	keys := map[string]string{}
+	require.NoError(b, f.start("vysocina", 3))
+	require.NoError(b, f.configure(examplesDir()+"/vysocina.json", func(k, v string) { keys[k] = v }))
+	require.NoError(b, f.startBackend("node2", "stock", []string{"--delay-ms", "2"}))
+	require.NoError(b, f.startBackend("node2", "orders", []string{"--delay-ms", "2"}))
+	require.NoError(b, await(readyTimeout, func() error { return f.ready("node1", 1, 2) }))
+	n, err := f.node("node1")
+	require.NoError(b, err)
+
+	lookup := request{url: "http://" + n.Listen.Caller, method: "GET", path: "/stock/1", key: keys["KEY_praha_duvets"]}
+	order := request{url: lookup.url, method: "POST", path: "/orders", key: keys["KEY_praha_duvets"]}
+	order.idempotency = uuid.Must(uuid.NewV7()).String()
+	timed(b, order)
+	var lookups, orders []time.Duration
+	for b.Loop() {
+		order.idempotency = uuid.Must(uuid.NewV7()).String()
+		lookups = append(lookups, timed(b, lookup))
+		orders = append(orders, timed(b, order))
+	}
+	report(b, lookups, orders)
+}
+
 func timed(b *testing.B, q request) time.Duration {
 	begin := time.Now()
 	out, err := q.send()
