Claims are handed over in a planned stop

Cause: after each planned stop of a home, its keys were refused for about 5 s and keys without a time for the whole window. Change: a leaving home waits for its successor, gives it the records and what it feared itself, and passes late reports on; the successor takes them from the owner right before only, and acts at once. Ruled out: acting on any hand-over, since an owner in between may have granted.

--- a/internal/decide/claim/book_test.go
+++ b/internal/decide/claim/book_test.go
@@ -73,6 +73,14 @@
 	}, testBudget())
 }
 
+// handOver is a planned change of home.
+func (w *world) handOver() {
+	saved, legacy := w.book.Save(clock.Time(w.now))
+	var ok bool
+	w.book, ok = Restore(clock.Time(w.now), saved, legacy, testBudget())
+	require.True(w.t, ok)
+}
+
 func (w *world) repeat() {
 	if !w.asked {
 		w.asked, w.first = true, w.now
@@ -166,8 +174,11 @@
 				w.settle()
 			case 7:
 				w.pass()
-				if rapid.Bool().Draw(t, "home changes") {
+				switch rapid.IntRange(0, 2).Draw(t, "home") {
+				case 1:
 					w.begin(false)
+				case 2:
+					w.handOver()
 				}
 			}
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -147,6 +147,7 @@
 	defer cancel()
 	n.Server.Drain()
 	n.Membership.Leave(ctx)
+	n.Claims.HandOver(ctx)
 	time.Sleep(leaveNotice)
 	n.Server.Idle(ctx)
 	for _, s := range n.servers {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -97,6 +97,11 @@
 	return err
 }
 
+// Handover gives claims to their next home at address.
+func (c *Client) Handover(ctx context.Context, address string, req *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	return c.To(ctx, address).Handover(ctx, req)
+}
+
 // sentConn is a pooled connection for one call that notes whether anything may
 // have been sent.
 type sentConn struct {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -37,6 +37,7 @@
 type ClaimHome interface {
 	HandleClaim(ctx context.Context, req *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
 	HandleSettle(ctx context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error)
+	HandleHandover(ctx context.Context, req *peerpb.HandoverRequest) (*peerpb.HandoverReply, error)
 }
 
 // Server answers other nodes.
@@ -125,3 +126,8 @@
 func (s *Server) Settle(ctx context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
 	return s.claims.HandleSettle(ctx, req)
 }
+
+// Handover implements the Peer service.
+func (s *Server) Handover(ctx context.Context, req *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	return s.claims.HandleHandover(ctx, req)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,8 @@
 	Since uint64 `json:"since"`
 	// First is set when the slot never had another owner.
 	First bool `json:"first,omitempty"`
+	// Before is the Since of the owner before, 0 if there was none.
+	Before uint64 `json:"before,omitempty"`
 }
 
 // Deployment is the part that only the deployment's own operators may change.
--- a/internal/system/claims/claims.go
+++ b/internal/system/claims/claims.go
@@ -36,12 +36,17 @@
 	Owner(class string, slot int) (homes.Owner, bool)
 	// Mine reports whether this node may act for a slot now.
 	Mine(class string, slot int) bool
+	// Named reports whether this node is the owner, be the owner before still acting.
+	Named(class string, slot int) bool
+	// Alone reports whether no other node could own slots.
+	Alone() bool
 }
 
 // Peers carries claims to other nodes.
 type Peers interface {
 	Claim(ctx context.Context, address string, req *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
 	Settle(ctx context.Context, address string, req *peerpb.SettleRequest) error
+	Handover(ctx context.Context, address string, req *peerpb.HandoverRequest) (*peerpb.HandoverReply, error)
 }
 
 // Views gives the settings in force, nil before the first version.
--- a/internal/system/claims/entry.go
+++ b/internal/system/claims/entry.go
@@ -19,7 +19,9 @@
 	// settleTimeout bounds one report of an outcome.
 	settleTimeout = time.Second
 	// settleTries bounds the reports of one outcome.
-	settleTries = 5
+	settleTries = 10
+	// settlePause lies between two reports.
+	settlePause = 200 * time.Millisecond
 	// retryAfter is told to callers that were refused without a run.
 	retryAfter = time.Second
 )
@@ -157,23 +159,33 @@
 	if o.Node == "" {
 		return
 	}
-	if o.Node == m.self.ID {
-		m.settle(&claim.Ask{Key: a.Key, Token: a.Token, Window: m.window()}, out)
-		return
+	req := &peerpb.SettleRequest{
+		Key: a.Key[:], Token: a.Token[:], NotRun: out.NotRun, Done: out.Done,
+		Answer: peer.AnswerToProto(out.Answer),
 	}
-	req := &peerpb.SettleRequest{Key: a.Key[:], Token: a.Token[:], NotRun: out.NotRun, Done: out.Done, Answer: peer.AnswerToProto(out.Answer)}
 	for range settleTries {
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-		err := m.peers.Settle(ctx, o.Address, req)
-		cancel()
-		if err == nil {
+		if m.reportOnce(o, req) == nil {
 			return
 		}
-		time.Sleep(askPause)
+		time.Sleep(settlePause)
+		// The home may have stopped and handed its claims over.
+		if now, ok := m.homes.Owner(homes.Claims, slotOf(a.Key)); ok {
+			o = now
+		}
 	}
 	m.count("unreported")
 }
 
+func (m *Manager) reportOnce(o homes.Owner, req *peerpb.SettleRequest) error {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if o.Node == m.self.ID {
+		_, err := m.HandleSettle(ctx, req)
+		return err
+	}
+	return m.peers.Settle(ctx, o.Address, req)
+}
+
 // result turns a verdict that forbids a run into the request's result.
 func result(v claim.Verdict, c *call.Call) call.Result {
 	switch v.Kind {
--- /dev/null
+++ b/internal/system/claims/handover.go
@@ -0,0 +1,224 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"comfreycart.dev/comfreycart/internal/decide/claim"
+	"comfreycart.dev/comfreycart/internal/peer"
+	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+	"comfreycart.dev/comfreycart/internal/system/homes"
+)
+
+const (
+	// handOverTimeout bounds the hand-over in a planned stop.
+	handOverTimeout = 4 * time.Second
+	handOverPause   = 20 * time.Millisecond
+	// partBytes and partRecords bound one message of a hand-over.
+	partBytes   = 4 << 20
+	partRecords = 10_000
+)
+
+var errNotTaken = errors.New("the next home did not take the claims")
+
+// incoming collects what the home before hands over.
+type incoming struct {
+	since uint64
+	// before is the giver's own term.
+	before uint64
+	claims []claim.Saved
+	legacy claim.Legacy
+	whole  bool
+}
+
+// complete reports whether all claims are there for an owner. They are worth
+// something only from the owner right before.
+func (in *incoming) complete(o homes.Owner) bool {
+	return in != nil && in.whole && in.since == o.Since && in.before == o.Before
+}
+
+// given is a hand-over by this node. Its done channel is closed when it ended.
+type given struct {
+	next homes.Owner
+	// since is this node's own term.
+	since uint64
+	done  chan struct{}
+}
+
+// HandOver waits in a planned stop until each slot of this node has its next home,
+// and gives it the claims.
+func (m *Manager) HandOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	var mine []int
+	for n := range homes.Slots {
+		if m.owns(n) {
+			mine = append(mine, n)
+		}
+	}
+	for len(mine) > 0 && ctx.Err() == nil && !m.homes.Alone() {
+		var left []int
+		for _, n := range mine {
+			if !m.handOver(ctx, n) {
+				left = append(left, n)
+			}
+		}
+		mine = left
+		time.Sleep(handOverPause)
+	}
+}
+
+// owns opens the slot's book if this node is its home.
+func (m *Manager) owns(n int) bool {
+	s := &m.shelf.slots[n]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return m.open(n, s)
+}
+
+// handOver reports false while the slot has no other home yet.
+func (m *Manager) handOver(ctx context.Context, n int) bool {
+	next, ok := m.homes.Owner(homes.Claims, n)
+	if !ok || next.Node == m.self.ID {
+		return false
+	}
+	g, saved, legacy := m.give(n, next)
+	defer close(g.done)
+	for _, req := range parts(saved, legacy) {
+		req.Slot, req.Since, req.Before = uint32(n), next.Since, g.since
+		if m.sendPart(ctx, next.Address, req) != nil {
+			m.count("hand-over-failed")
+			return true
+		}
+	}
+	m.count("handed-over")
+	return true
+}
+
+// give closes the slot's book for good and wakes the repeats that wait there.
+func (m *Manager) give(n int, next homes.Owner) (*given, []claim.Saved, claim.Legacy) {
+	s := &m.shelf.slots[n]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.given = &given{next: next, since: s.since, done: make(chan struct{})}
+	for k, w := range s.waits {
+		close(w.settled)
+		delete(s.waits, k)
+	}
+	saved, legacy := s.book.Save(m.clock.Now())
+	return s.given, saved, legacy
+}
+
+func (m *Manager) sendPart(ctx context.Context, address string, req *peerpb.HandoverRequest) error {
+	for {
+		reply, err := m.peers.Handover(ctx, address, req)
+		if err == nil && reply.Taken {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err == nil {
+			return errNotTaken
+		}
+		time.Sleep(handOverPause)
+	}
+}
+
+// forward passes a report on to the next home, after the claims.
+func (m *Manager) forward(ctx context.Context, g *given, req *peerpb.SettleRequest) error {
+	select {
+	case <-g.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return m.peers.Settle(ctx, g.next.Address, req)
+}
+
+// parts splits a hand-over into messages.
+func parts(saved []claim.Saved, l claim.Legacy) []*peerpb.HandoverRequest {
+	last := &peerpb.HandoverRequest{}
+	out := []*peerpb.HandoverRequest{last}
+	size := int64(0)
+	for i := range saved {
+		if size > partBytes || len(last.Claims) == partRecords {
+			last = &peerpb.HandoverRequest{}
+			out = append(out, last)
+			size = 0
+		}
+		last.Claims = append(last.Claims, savedToProto(&saved[i]))
+		if saved[i].Answer != nil {
+			size += claim.AnswerSize(saved[i].Answer)
+		}
+	}
+	last.Last = true
+	last.First = l.First
+	last.BeganWallMs = l.BeganWall.UnixMilli() + 1
+	last.GuardUs = l.Guard.Microseconds()
+	return out
+}
+
+// HandleHandover implements peer.ClaimHome.
+func (m *Manager) HandleHandover(_ context.Context, req *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	if req.Slot >= homes.Slots {
+		return &peerpb.HandoverReply{}, nil
+	}
+	s := &m.shelf.slots[req.Slot]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.book != nil && s.since >= req.Since {
+		return &peerpb.HandoverReply{}, nil
+	}
+	if s.incoming == nil || s.incoming.since != req.Since {
+		s.incoming = &incoming{since: req.Since, before: req.Before}
+	}
+	for _, c := range req.Claims {
+		if saved, ok := savedFromProto(c); ok {
+			s.incoming.claims = append(s.incoming.claims, saved)
+		}
+	}
+	if req.Last {
+		s.incoming.whole = true
+		s.incoming.legacy = claim.Legacy{
+			First:     req.First,
+			BeganWall: time.UnixMilli(req.BeganWallMs),
+			Guard:     time.Duration(req.GuardUs) * time.Microsecond,
+		}
+	}
+	return &peerpb.HandoverReply{Taken: true}, nil
+}
+
+// restore begins a term with the claims handed over; the caller holds the lock.
+func (m *Manager) restore(s *slot) bool {
+	in := s.incoming
+	s.incoming = nil
+	b, ok := claim.Restore(m.clock.Now(), in.claims, in.legacy, m.shelf.budget)
+	if !ok {
+		return false
+	}
+	s.replace(in.since, b, true)
+	return true
+}
+
+func savedToProto(s *claim.Saved) *peerpb.SavedClaim {
+	return &peerpb.SavedClaim{
+		Key: s.Key[:], Fingerprint: s.Fingerprint[:], Token: s.Token[:],
+		State: uint32(s.State), Taken: s.Taken,
+		LapseUs: s.Lapse.Microseconds(), ExpiresUs: s.Expires.Microseconds(), WindowUs: s.Window.Microseconds(),
+		Answer: peer.AnswerToProto(s.Answer),
+	}
+}
+
+func savedFromProto(p *peerpb.SavedClaim) (claim.Saved, bool) {
+	if len(p.Key) != len(claim.Key{}) || len(p.Fingerprint) != len(claim.Fingerprint{}) || len(p.Token) != len(claim.Token{}) {
+		return claim.Saved{}, false
+	}
+	const us = time.Microsecond
+	return claim.Saved{
+		Key: claim.Key(p.Key), Fingerprint: claim.Fingerprint(p.Fingerprint), Token: claim.Token(p.Token),
+		State: uint8(p.State), Taken: p.Taken,
+		Lapse: time.Duration(p.LapseUs) * us, Expires: time.Duration(p.ExpiresUs) * us, Window: time.Duration(p.WindowUs) * us,
+		Answer: peer.AnswerFromProto(p.Answer),
+	}, true
+}
--- a/internal/system/claims/home.go
+++ b/internal/system/claims/home.go
@@ -37,8 +37,14 @@
 	since  uint64
 	book   *claim.Book
 	joined int
+	// restored is set when the home before handed the book over.
+	restored bool
 	// waits holds what the repeats of running requests wait for.
 	waits map[claim.Key]*wait
+	// incoming is what the home before hands over.
+	incoming *incoming
+	// given is set once this node hands the slot over.
+	given *given
 }
 
 // wait is what the repeats of one running request wait for.
@@ -67,12 +73,15 @@
 }
 
 // HandleSettle implements peer.ClaimHome.
-func (m *Manager) HandleSettle(_ context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+func (m *Manager) HandleSettle(ctx context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
 	if len(req.Key) != len(claim.Key{}) || len(req.Token) != len(claim.Token{}) {
 		return &peerpb.SettleReply{}, nil
 	}
 	ask := &claim.Ask{Key: claim.Key(req.Key), Token: claim.Token(req.Token), Window: m.window()}
-	m.settle(ask, claim.Outcome{Done: req.Done, Answer: peer.AnswerFromProto(req.Answer), NotRun: req.NotRun})
+	out := claim.Outcome{Done: req.Done, Answer: peer.AnswerFromProto(req.Answer), NotRun: req.NotRun}
+	if g := m.settle(ask, out); g != nil {
+		return &peerpb.SettleReply{}, m.forward(ctx, g, req)
+	}
 	return &peerpb.SettleReply{}, nil
 }
 
@@ -113,19 +122,32 @@
 // last look at the lease before acting; the caller holds the slot's lock.
 func (m *Manager) open(n int, s *slot) bool {
 	owner, ok := m.homes.Owner(homes.Claims, n)
-	if !ok || !m.homes.Mine(homes.Claims, n) {
+	if !ok || s.given != nil {
+		return false
+	}
+	if s.book != nil && s.since == owner.Since && s.restored {
+		return m.homes.Named(homes.Claims, n)
+	}
+	if s.incoming.complete(owner) && m.homes.Named(homes.Claims, n) {
+		return m.restore(s)
+	}
+	if !m.homes.Mine(homes.Claims, n) {
 		return false
 	}
 	if s.book == nil || s.since != owner.Since {
-		if s.book != nil {
-			s.book.Close()
-		}
-		s.since = owner.Since
-		s.book = claim.NewBook(m.term(owner), m.shelf.budget)
+		s.replace(owner.Since, claim.NewBook(m.term(owner), m.shelf.budget), false)
 	}
 	return true
 }
 
+// replace begins a term with a book.
+func (s *slot) replace(since uint64, b *claim.Book, restored bool) {
+	if s.book != nil {
+		s.book.Close()
+	}
+	s.since, s.book, s.restored = since, b, restored
+}
+
 func (m *Manager) term(o homes.Owner) claim.Term {
 	v := m.views.View()
 	return claim.Term{
@@ -187,18 +209,23 @@
 }
 
 // settle records an outcome. It needs no lease: a record only tells what happened.
-func (m *Manager) settle(a *claim.Ask, o claim.Outcome) {
+// Where the slot was handed over, it returns to whom.
+func (m *Manager) settle(a *claim.Ask, o claim.Outcome) *given {
 	s := &m.shelf.slots[slotOf(a.Key)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.given != nil {
+		return s.given
+	}
 	if s.book == nil {
-		return
+		return nil
 	}
 	s.book.Settle(m.clock.Now(), a, o)
 	if w := s.waits[a.Key]; w != nil {
 		close(w.settled)
 		delete(s.waits, a.Key)
 	}
+	return nil
 }
 
 func (m *Manager) window() time.Duration {
--- a/internal/system/homes/homes.go
+++ b/internal/system/homes/homes.go
@@ -97,6 +97,23 @@
 	return (home.First || m.fence.Fenced(home.Since)) && m.fence.Fresh() == nil
 }
 
+// Named reports whether the settings in force name this node as the owner of a slot.
+// It may act only if the owner before has said that it stopped.
+func (m *Manager) Named(class string, slot int) bool {
+	home, ok := m.home(class, slot)
+	if !ok || home.Node != m.self.ID || home.Incarnation != m.self.Incarnation {
+		return false
+	}
+	return m.fence.Fresh() == nil
+}
+
+// Alone reports whether no other node could own slots.
+func (m *Manager) Alone() bool {
+	alive := m.alive()
+	delete(alive, m.self.ID)
+	return len(alive) == 0
+}
+
 func (m *Manager) home(class string, slot int) (settings.Home, bool) {
 	v := m.current.View()
 	if v == nil || len(v.Tree.Homes[class]) != Slots {
@@ -229,7 +246,7 @@
 			continue
 		}
 		id := choose(class+"/"+string(rune('a'+slot)), fit)
-		homes[slot] = settings.Home{Node: id, Incarnation: fit[id].Incarnation, Since: version, First: first}
+		homes[slot] = settings.Home{Node: id, Incarnation: fit[id].Incarnation, Since: version, First: first, Before: h.Since}
 	}
 	t.Homes[class] = homes
 }
--- a/test/script/once_test.go
+++ b/test/script/once_test.go
@@ -19,8 +19,9 @@
 
 // Commands for requests that must run at most once:
 //
-//	storm NAME RATE REPEATS NODES METHOD PATH [key=..] ..
-//	                     start requests, each sent REPEATS times at once under one key
+//	storm NAME RATE REPEATS NODES METHOD PATH [key=..] .. [random=yes]
+//	                     start requests, each sent REPEATS times at once under one key,
+//	                     which is a UUID of version 7 or, if random, 4
 //	again NAME NODES     send each request of an ended storm once more
 //	endstorm NAME        end it and compare what came back with the backend servers' journals
 //	subcall NODE METHOD PATH HANDLE
@@ -32,10 +33,11 @@
 //	escape VARIABLE TEXT set the variable to the text with every byte percent-encoded
 //	sent LOW HIGH        check how many calls the backend servers got since the last check
 //	crash NAME..         kill processes (the language's own kill is another command)
+//	planned NAME..       planned stop (the language's own stop is another command)
 //	raw NODE TEXT [cut]  send raw bytes to the caller listener and print the answer
 var onceCommands = map[string]command{
 	"storm": stormCmd, "endstorm": endStormCmd, "subcall": subCallCmd,
-	"handle": handleCmd, "sent": sentCmd, "raw": rawCmd, "crash": killCmd,
+	"handle": handleCmd, "sent": sentCmd, "raw": rawCmd, "crash": killCmd, "planned": stopCmd,
 	"again": againCmd, "mixed": mixedCmd, "escape": escapeCmd,
 }
 
@@ -51,6 +53,8 @@
 	traffic *traffic
 	repeats int
 	request request
+	// random makes keys without a time.
+	random bool
 
 	mu      sync.Mutex
 	results map[string][]outcome
@@ -75,11 +79,15 @@
 		}
 		urls = append(urls, "http://"+n.Listen.Caller)
 	}
+	random := args[len(args)-1] == "random=yes"
+	if random {
+		args = args[:len(args)-1]
+	}
 	q, err := f.parseRequest(args[4:])
 	if err != nil {
 		return "", err
 	}
-	s := &storm{repeats: repeats, request: q, results: map[string][]outcome{}}
+	s := &storm{random: random, repeats: repeats, request: q, results: map[string][]outcome{}}
 	s.traffic = &traffic{stop: make(chan struct{})}
 	s.traffic.wg.Add(1)
 	go s.run(q, urls, time.Duration(float64(time.Second)/rate))
@@ -98,6 +106,9 @@
 		case <-tick.C:
 		}
 		q.idempotency = uuid.Must(uuid.NewV7()).String()
+		if s.random {
+			q.idempotency = uuid.NewString()
+		}
 		for n := range s.repeats {
 			q.url = urls[(i+n)%len(urls)]
 			s.traffic.wg.Add(1)
