Reports of outcomes reach a home that has not opened its claims yet

Cause: a report forwarded after a hand-over was dropped where the next home had not opened the records; the key's outcome then became unknown. Change: such a report opens the records or is sent again.

--- /dev/null
+++ b/internal/system/claims/claims_test.go
@@ -0,0 +1,206 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/system/dispatch"
+	"comfreycart.dev/comfreycart/internal/system/homes"
+)
+
+// fleet is a few managers that reach each other by name, and the owner of all slots.
+type fleet struct {
+	mu       sync.Mutex
+	owner    homes.Owner
+	fenced   atomic.Bool
+	managers map[string]*Manager
+	// loseReplies drops the replies to so many questions.
+	loseReplies int
+}
+
+var errLost = errors.New("lost")
+
+func (f *fleet) Owner(string, int) (homes.Owner, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.owner, f.owner.Node != ""
+}
+
+func (f *fleet) Alone() bool { return false }
+
+// place is the fleet as one node sees it.
+type place struct {
+	*fleet
+	id string
+}
+
+func (p place) Mine(string, int) bool {
+	o, _ := p.Owner("", 0)
+	return o.Node == p.id && (o.First || p.fenced.Load())
+}
+
+func (p place) Named(string, int) bool {
+	o, _ := p.Owner("", 0)
+	return o.Node == p.id
+}
+
+func (f *fleet) Claim(ctx context.Context, address string, req *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	reply, err := f.managers[address].HandleClaim(ctx, req)
+	if f.loseReplies > 0 {
+		f.loseReplies--
+		return nil, errLost
+	}
+	return reply, err
+}
+
+func (f *fleet) Settle(ctx context.Context, address string, req *peerpb.SettleRequest) error {
+	_, err := f.managers[address].HandleSettle(ctx, req)
+	return err
+}
+
+func (f *fleet) Handover(ctx context.Context, address string, req *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	return f.managers[address].HandleHandover(ctx, req)
+}
+
+type views struct{ view *settings.View }
+
+func (v views) View() *settings.View { return v.view }
+
+func newFleet(names ...string) *fleet {
+	f := &fleet{managers: map[string]*Manager{}}
+	view := settings.Compile(1, &settings.Tree{})
+	for _, n := range names {
+		f.managers[n] = New(dispatch.Self{ID: n}, clock.Boot{}, place{f, n}, f, views{view}, metric.NewSet())
+	}
+	return f
+}
+
+func (f *fleet) name(node string, since, before uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.owner = homes.Owner{Home: settings.Home{Node: node, Since: since, Before: before, First: before == 0}, Address: node}
+}
+
+// stop makes a planned stop of a home while the settings name the next one.
+func (f *fleet) stop(t *testing.T, node, next string, since, before uint64) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.managers[node].HandOver(context.Background())
+	}()
+	require.Eventually(t, func() bool {
+		s := &f.managers[node].shelf.slots[homes.Slots-1]
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.book != nil
+	}, 5*time.Second, time.Millisecond)
+	f.name(next, since, before)
+	<-done
+}
+
+// backend counts its runs.
+type backend struct {
+	runs   int
+	result call.Result
+	during func()
+}
+
+func (b *backend) Do(context.Context, *call.Call) call.Result {
+	b.runs++
+	if b.during != nil {
+		b.during()
+	}
+	return b.result
+}
+
+var answered = call.Result{Answer: &call.Answer{Status: 200, Body: []byte("done")}}
+
+func (f *fleet) request(entry string, b *backend, timeout time.Duration) call.Result {
+	r := &call.Request{Method: "POST", Path: "/orders", Header: map[string][]string{HeaderKey: {"key"}}}
+	c := &call.Call{Account: "a", Route: "r", Deadline: clock.Boot{}.Now().Add(timeout), Request: r}
+	return NewRunner(f.managers[entry], b).Do(context.Background(), c)
+}
+
+// settled waits until the report of an outcome has reached the home.
+func (f *fleet) settled(t *testing.T, entry string, b *backend, want call.Reason) call.Result {
+	var r call.Result
+	require.Eventually(t, func() bool {
+		r = f.request(entry, b, 100*time.Millisecond)
+		return want == "" && r.Answer != nil || r.Failure != nil && r.Failure.Reason == want
+	}, 5*time.Second, 10*time.Millisecond)
+	return r
+}
+
+func TestALostReplyToAClaimDoesNotBarItsRunner(t *testing.T) {
+	f := newFleet("a", "b")
+	f.name("b", 1, 0)
+	f.loseReplies = 1
+	b := &backend{result: answered}
+	require.Equal(t, 200, f.request("a", b, time.Second).Answer.Status)
+	r := f.settled(t, "b", b, "")
+	require.Equal(t, "true", r.Answer.Header.Get(HeaderRepeat))
+	require.Equal(t, 1, b.runs)
+}
+
+func TestWithoutAHomeNothingRuns(t *testing.T) {
+	f := newFleet("a", "b")
+	f.name("b", 2, 1)
+	b := &backend{result: answered}
+	r := f.request("a", b, 100*time.Millisecond)
+	require.Equal(t, call.ClaimUnreachable, r.Failure.Reason)
+	require.Equal(t, call.NotRun, r.Failure.Outcome)
+	require.Zero(t, b.runs)
+}
+
+func TestANewHomeWithoutRecordsRunsNoOldKey(t *testing.T) {
+	f := newFleet("a", "b")
+	f.name("b", 2, 1)
+	f.fenced.Store(true)
+	b := &backend{result: answered}
+	require.Equal(t, call.RepeatUnknown, f.request("a", b, time.Second).Failure.Reason)
+	require.Zero(t, b.runs)
+}
+
+// The home hands over while a request runs; the report reaches the next home.
+func TestAReportFollowsAHandOver(t *testing.T) {
+	f := newFleet("a", "b", "c")
+	f.name("b", 1, 0)
+	b := &backend{result: answered}
+	b.during = func() { f.stop(t, "b", "c", 2, 1) }
+	require.NotNil(t, f.request("a", b, time.Second).Answer)
+	f.settled(t, "a", b, "")
+	require.Equal(t, 1, b.runs)
+}
+
+// Only the owner right before may hand over: one in between may have granted more.
+func TestAHandOverFromAnEarlierOwnerIsWorthNothing(t *testing.T) {
+	f := newFleet("a", "b", "c")
+	f.name("b", 1, 0)
+	f.stop(t, "b", "c", 3, 2)
+	b := &backend{result: answered}
+	require.Equal(t, call.ClaimUnreachable, f.request("a", b, 100*time.Millisecond).Failure.Reason)
+	f.fenced.Store(true)
+	require.Equal(t, call.RepeatUnknown, f.request("a", b, time.Second).Failure.Reason)
+	require.Zero(t, b.runs)
+}
+
+func TestWhatDidNotRunMayRun(t *testing.T) {
+	f := newFleet("a", "b")
+	f.name("b", 1, 0)
+	refused := &backend{result: call.Fail(call.Refuse(call.QueueFull, "full"), 0)}
+	require.Equal(t, call.QueueFull, f.request("a", refused, time.Second).Failure.Reason)
+	b := &backend{result: answered}
+	f.settled(t, "b", b, "")
+	require.Equal(t, 1, b.runs)
+}
--- a/internal/system/claims/handover.go
+++ b/internal/system/claims/handover.go
@@ -20,7 +20,10 @@
 	partRecords = 10_000
 )
 
-var errNotTaken = errors.New("the next home did not take the claims")
+var (
+	errNotTaken = errors.New("the next home did not take the claims")
+	errNotOpen  = errors.New("the claims are not in force here yet")
+)
 
 // incoming collects what the home before hands over.
 type incoming struct {
--- a/internal/system/claims/home.go
+++ b/internal/system/claims/home.go
@@ -79,10 +79,11 @@
 	}
 	ask := &claim.Ask{Key: claim.Key(req.Key), Token: claim.Token(req.Token), Window: m.window()}
 	out := claim.Outcome{Done: req.Done, Answer: peer.AnswerFromProto(req.Answer), NotRun: req.NotRun}
-	if g := m.settle(ask, out); g != nil {
-		return &peerpb.SettleReply{}, m.forward(ctx, g, req)
+	g, err := m.settle(ask, out)
+	if g != nil {
+		err = m.forward(ctx, g, req)
 	}
-	return &peerpb.SettleReply{}, nil
+	return &peerpb.SettleReply{}, err
 }
 
 func askFromProto(req *peerpb.ClaimRequest) (*claim.Ask, bool) {
@@ -209,23 +210,28 @@
 }
 
 // settle records an outcome. It needs no lease: a record only tells what happened.
-// Where the slot was handed over, it returns to whom.
-func (m *Manager) settle(a *claim.Ask, o claim.Outcome) *given {
-	s := &m.shelf.slots[slotOf(a.Key)]
+// Where the slot was handed over, it returns to whom; claims that were handed to this
+// node and cannot be opened yet are an error.
+func (m *Manager) settle(a *claim.Ask, o claim.Outcome) (*given, error) {
+	n := slotOf(a.Key)
+	s := &m.shelf.slots[n]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.given != nil {
-		return s.given
+		return s.given, nil
+	}
+	if s.incoming != nil && !m.open(n, s) {
+		return nil, errNotOpen
 	}
 	if s.book == nil {
-		return nil
+		return nil, nil
 	}
 	s.book.Settle(m.clock.Now(), a, o)
 	if w := s.waits[a.Key]; w != nil {
 		close(w.settled)
 		delete(s.waits, a.Key)
 	}
-	return nil
+	return nil, nil
 }
 
 func (m *Manager) window() time.Duration {
