--- /dev/null
+++ b/internal/api/egress/egress_test.go
@@ -0,0 +1,82 @@
+package egress
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+type views struct{ view *settings.View }
+
+func (v views) View() *settings.View { return v.view }
+
+// blocked is a dispatcher whose calls last until their context ends.
+type blocked struct{ got chan *call.Call }
+
+func (b *blocked) Do(ctx context.Context, c *call.Call) call.Result {
+	b.got <- c
+	<-ctx.Done()
+	return call.Result{Failure: call.Lose(call.Cancelled, "ended"), Unused: 0}
+}
+
+// A sub-call takes over its parent's account, priority, deadline and part of its
+// allowance, and ends with it.
+func TestASubCallBelongsToItsParent(t *testing.T) {
+	clk := clock.Boot{}
+	calls := table.NewCalls()
+	d := &blocked{got: make(chan *call.Call, 1)}
+	tree := &settings.Tree{Teams: map[string]settings.Team{"t": {Routes: []settings.Route{
+		{Name: "r", Method: "POST", Prefix: "/r", Service: "s", Priority: "low", Internal: true, DeadlineMs: 600_000},
+	}}}}
+	h := New(clk, views{settings.Compile(1, tree)}, calls, d, metric.NewSet(), zerolog.Nop())
+	parentCtx, end := context.WithCancel(t.Context())
+	defer end()
+	parent := &call.Call{Account: "a", Priority: call.Critical, Deadline: clk.Now().Add(time.Minute), Allowance: 4}
+	handle, running := calls.Open(parentCtx, parent)
+
+	w := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r := httptest.NewRequest("POST", "/r", nil)
+		r.Header.Set("Comfreycart-Call", handle)
+		h.ServeHTTP(w, r)
+	}()
+	sub := <-d.got
+	require.Equal(t, "a", sub.Account)
+	require.Equal(t, call.Critical, sub.Priority)
+	require.Equal(t, parent.Deadline, sub.Deadline)
+	require.Equal(t, 2, sub.Allowance)
+	end()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the sub-call outlasts its parent")
+	}
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	left, below := running.End()
+	require.Equal(t, 2, left, "a lost part counts as spent")
+	require.Equal(t, table.Below{Called: true, Failed: true}, below)
+}
+
+// A call that ended a moment ago takes no more sub-calls.
+func TestAnEndedCallTakesNoSubCall(t *testing.T) {
+	running := func() *table.Running {
+		_, r := table.NewCalls().Open(t.Context(), &call.Call{Allowance: 1})
+		return r
+	}()
+	running.End()
+	_, f := running.TakeAllowance()
+	require.Equal(t, call.HandleUnknown, f.Reason)
+}
