--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -33,6 +33,7 @@
 	n.Server.Drain()
 	notice := time.After(min(leaveNotice, bound/noticeParts))
 	n.Membership.Leave(finish)
+	n.Claims.HandOver(finish)
 	<-notice
 
 	n.callers.finish(finish)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
+	"comfreycart.dev/comfreycart/internal/system/claims"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/system/homes"
 	"comfreycart.dev/comfreycart/internal/system/membership"
@@ -52,6 +53,7 @@
 	Homes      *homes.Manager
 	Fences     *fence.Table
 	Server     *serve.Server
+	Claims     *claims.Manager
 
 	// callers is the server of the callers' listener, servers those of all listeners.
 	callers *callerServer
@@ -167,6 +169,7 @@
 			return
 		case <-tick.C:
 			n.Fences.Expire()
+			n.Claims.Expire()
 		}
 	}
 }
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -38,31 +38,32 @@
 	manager := shares.New(boot)
 	self := provideSelf(c)
 	endpoints := table.NewEndpoints(boot)
+	members := table.NewMembers(boot, endpoints)
+	acceptor := provideAcceptor(c, store)
+	homesManager := homes.New(self, boot, members, current, acceptor, follower, logger)
 	source := provideSource(c)
 	tlsConfig, err := providePeerTLS(c, logger)
 	if err != nil {
 		return nil, err
 	}
 	client := peer.NewClient(boot, source, tlsConfig)
+	claimsManager := claims.New(self, boot, homesManager, client, current, set)
 	calls := table.NewCalls()
 	locals := table.NewLocals()
 	fenceTable := fence.New(boot)
 	server := serve.New(boot, calls, locals, fenceTable, set)
 	dispatcher := dispatch.New(self, boot, endpoints, client, server, set)
-	gate := entry.New(boot, current, follower, manager, dispatcher)
+	runner := claims.NewRunner(claimsManager, dispatcher)
+	gate := entry.New(boot, current, follower, manager, runner)
 	handler := caller.New(gate, set, logger)
 	backendHandler := provideBackend(c, boot, current, locals, server)
-	egressHandler := egress.New(boot, current, calls, dispatcher, set, logger)
-	acceptor := provideAcceptor(c, store)
-	members := table.NewMembers(boot, endpoints)
+	egressHandler := egress.New(boot, current, calls, runner, set, logger)
 	nodeStatus := provideStatus(self, current, follower, members)
 	adminHandler := provideAdmin(c, current, acceptor, nodeStatus, logger)
 	options := provideMembershipOptions(c, self)
 	transport := membership.NewTransport(client)
 	membershipManager := membership.New(options, boot, members, endpoints, locals, transport, store, set, logger)
-	claimsManager := claims.New()
 	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, follower, manager, claimsManager)
-	homesManager := homes.New(self, boot, members, current, acceptor, follower, logger)
 	node := &Node{
 		Config:     c,
 		Log:        logger,
@@ -78,6 +79,7 @@
 		Homes:      homesManager,
 		Fences:     fenceTable,
 		Server:     server,
+		Claims:     claimsManager,
 	}
 	return node, nil
 }
