--- a/internal/api/message.go
+++ b/internal/api/message.go
@@ -148,8 +148,8 @@
 			h[name] = values
 		}
 	}
-	if hasBody(r.Method, a.Status) {
-		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if length := contentLength(r.Method, a); length != "" {
+		h.Set("Content-Length", length)
 	}
 	w.WriteHeader(a.Status)
 	if hasBody(r.Method, a.Status) {
@@ -157,6 +157,15 @@
 	}
 }
 
+// contentLength is the length of the body that is sent, or for an answer without one
+// the length that the backend server named.
+func contentLength(method string, a *call.Answer) string {
+	if hasBody(method, a.Status) {
+		return strconv.Itoa(len(a.Body))
+	}
+	return a.Header.Get("Content-Length")
+}
+
 func hasBody(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
