--- /dev/null
+++ b/internal/decide/queue/queue.go
@@ -0,0 +1,239 @@
+// Package queue orders the calls that wait for a place at an endpoint: by priority,
+// then calls of requests already under way before new requests, then fairly by
+// client account. It does no I/O and is not safe for concurrent use.
+package queue
+
+import (
+	"time"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+)
+
+// classes is the number of classes: new requests and those under way, per priority.
+const classes = 2 * int(call.Priorities)
+
+// maxFree bounds the flows kept for reuse.
+const maxFree = 64
+
+// Item is one waiting call. It may be used again once it has left the queue.
+type Item struct {
+	Priority call.Priority
+	Account  string
+	// Depth is 0 for a new request and above for its sub-calls.
+	Depth int
+	// Spent is the service time already used by the request.
+	Spent    time.Duration
+	Deadline clock.Time
+	Arrived  clock.Time
+	// Owner is the record of the queue's user; the queue never looks at it.
+	Owner any
+
+	flow       *flow
+	prev, next *Item
+}
+
+// Waiting reports whether the item is in a queue.
+func (it *Item) Waiting() bool { return it.flow != nil }
+
+func (it *Item) class() int {
+	c := 2 * int(it.Priority)
+	if it.Depth > 0 {
+		c++
+	}
+	return c
+}
+
+// flow holds one account's items of a class, those with most time spent first.
+type flow struct {
+	account    string
+	class      *class
+	head, tail *Item
+	len        int
+	// prev and next link the class's ring of flows, served in turn.
+	prev, next *flow
+}
+
+type class struct {
+	flows map[string]*flow
+	// turn is the flow to be served next.
+	turn *flow
+	len  int
+}
+
+// Queue holds waiting calls. Its zero value is empty and ready.
+type Queue struct {
+	classes [classes]class
+	len     int
+	free    []*flow
+}
+
+// Len is the number of waiting calls.
+func (q *Queue) Len() int { return q.len }
+
+// Push adds an item, which must not be waiting already.
+func (q *Queue) Push(it *Item) {
+	c := &q.classes[it.class()]
+	f := c.flows[it.Account]
+	if f == nil {
+		f = q.open(c, it.Account)
+	}
+	f.insert(it)
+	c.len++
+	q.len++
+}
+
+// Pop takes out the next item to run; nil if the queue is empty.
+func (q *Queue) Pop() *Item {
+	for i := classes - 1; i >= 0; i-- {
+		c := &q.classes[i]
+		if c.turn == nil {
+			continue
+		}
+		f := c.turn
+		c.turn = f.next
+		it := f.head
+		q.Remove(it)
+		return it
+	}
+	return nil
+}
+
+// Remove takes out a waiting item and reports whether it was waiting.
+func (q *Queue) Remove(it *Item) bool {
+	f := it.flow
+	if f == nil {
+		return false
+	}
+	f.remove(it)
+	f.class.len--
+	q.len--
+	if f.len == 0 {
+		q.close(f)
+	}
+	return true
+}
+
+// Evict takes out the item that must make room for newcomer: one of the lowest
+// class below it, or one of its class whose account holds more places. It returns
+// nil if the newcomer has no better claim than those waiting.
+func (q *Queue) Evict(newcomer *Item) *Item {
+	own := newcomer.class()
+	for i := 0; i < own; i++ {
+		if c := &q.classes[i]; c.len > 0 {
+			return q.takeLast(c.longest())
+		}
+	}
+	c := &q.classes[own]
+	f := c.longest()
+	if f == nil || f.account == newcomer.Account {
+		return nil
+	}
+	held := 0
+	if mine := c.flows[newcomer.Account]; mine != nil {
+		held = mine.len
+	}
+	if f.len <= held+1 {
+		return nil
+	}
+	return q.takeLast(f)
+}
+
+func (q *Queue) takeLast(f *flow) *Item {
+	it := f.tail
+	q.Remove(it)
+	return it
+}
+
+func (c *class) longest() *flow {
+	best := c.turn
+	if best == nil {
+		return nil
+	}
+	for f := c.turn.next; f != c.turn; f = f.next {
+		if f.len > best.len {
+			best = f
+		}
+	}
+	return best
+}
+
+// open adds a flow that is served after all others of its class.
+func (q *Queue) open(c *class, account string) *flow {
+	f := q.reuse()
+	f.account, f.class = account, c
+	if c.flows == nil {
+		c.flows = map[string]*flow{}
+	}
+	c.flows[account] = f
+	if c.turn == nil {
+		c.turn, f.prev, f.next = f, f, f
+		return f
+	}
+	last := c.turn.prev
+	last.next, f.prev = f, last
+	f.next, c.turn.prev = c.turn, f
+	return f
+}
+
+func (q *Queue) reuse() *flow {
+	n := len(q.free)
+	if n == 0 {
+		return &flow{}
+	}
+	f := q.free[n-1]
+	q.free = q.free[:n-1]
+	return f
+}
+
+func (q *Queue) close(f *flow) {
+	c := f.class
+	delete(c.flows, f.account)
+	if f.next == f {
+		c.turn = nil
+	} else {
+		f.prev.next, f.next.prev = f.next, f.prev
+		if c.turn == f {
+			c.turn = f.next
+		}
+	}
+	*f = flow{}
+	if len(q.free) < maxFree {
+		q.free = append(q.free, f)
+	}
+}
+
+// insert keeps the order: most time spent first, then first come first served.
+func (f *flow) insert(it *Item) {
+	after := f.tail
+	for after != nil && after.Spent < it.Spent {
+		after = after.prev
+	}
+	it.flow, it.prev = f, after
+	if after == nil {
+		it.next, f.head = f.head, it
+	} else {
+		it.next, after.next = after.next, it
+	}
+	if it.next == nil {
+		f.tail = it
+	} else {
+		it.next.prev = it
+	}
+	f.len++
+}
+
+func (f *flow) remove(it *Item) {
+	if it.prev == nil {
+		f.head = it.next
+	} else {
+		it.prev.next = it.next
+	}
+	if it.next == nil {
+		f.tail = it.prev
+	} else {
+		it.next.prev = it.prev
+	}
+	it.flow, it.prev, it.next = nil, nil, nil
+	f.len--
+}
--- /dev/null
+++ b/internal/experiment/choose.go
@@ -0,0 +1,61 @@
+package experiment
+
+import (
+	"math/rand/v2"
+
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/decide/pick"
+)
+
+// chooser picks an untried endpoint, or nil.
+type chooser func(now clock.Time, n *node, views []*view, rnd *rand.Rand) *view
+
+// view is what one node knows of one endpoint. It implements pick.Endpoint.
+type view struct {
+	endpoint *endpoint
+	load     pick.Load
+}
+
+// Load implements pick.Endpoint.
+func (v *view) Load() *pick.Load { return &v.load }
+
+// In implements pick.Endpoint.
+func (v *view) In(domain string) bool { return v.endpoint.node.domain == domain }
+
+func chooseOwn(now clock.Time, n *node, views []*view, rnd *rand.Rand) *view {
+	return pick.Choose(now, views, n.domain, n.triedView, rnd.IntN)
+}
+
+func chooseAny(_ clock.Time, n *node, views []*view, rnd *rand.Rand) *view {
+	return drawFrom(n, views, rnd, func(*view) bool { return true })
+}
+
+// chooseFirstVersion is the choice of the product's first version.
+func chooseFirstVersion(_ clock.Time, n *node, views []*view, rnd *rand.Rand) *view {
+	near := func(v *view) bool { return v.In(n.domain) }
+	a := drawFrom(n, views, rnd, near)
+	if a == nil {
+		near = func(*view) bool { return true }
+		a = drawFrom(n, views, rnd, near)
+	}
+	b := drawFrom(n, views, rnd, near)
+	if a != nil && b.load.InFlight() < a.load.InFlight() {
+		return b
+	}
+	return a
+}
+
+func drawFrom(n *node, views []*view, rnd *rand.Rand, fits func(*view) bool) *view {
+	var found *view
+	seen := 0
+	for _, v := range views {
+		if n.triedView(v) || !fits(v) {
+			continue
+		}
+		seen++
+		if rnd.IntN(seen) == 0 {
+			found = v
+		}
+	}
+	return found
+}
