--- a/internal/decide/admission/level.go
+++ b/internal/decide/admission/level.go
@@ -17,11 +17,17 @@
 	// minShare is the smallest share admitted at the threshold; below it the threshold rises.
 	minShare = 0.02
 	// maxCut bounds the part of the arrivals that one change may turn away.
-	maxCut = 0.5
-	// growth is the part by which the admitted calls may grow in one change.
-	growth = 0.05
-	// openGrowth is the growth while the endpoint has free places.
-	openGrowth = 0.5
+	maxCut = 0.2
+	// maxGrowth bounds the part of the arrivals that one change may let in besides.
+	maxGrowth = 0.15
+	// maxGain bounds the factor by which one change raises the share.
+	maxGain = 2.0
+	// targetPart is the queue, in parts of the limit, at which nothing is changed.
+	targetPart = 0.25
+	// queueGain is the part of the queue's distance from the target made up by one change.
+	queueGain = 0.1
+	// freeGain is the part of the free places made up by one change.
+	freeGain = 0.5
 )
 
 // level is the admission threshold that an endpoint tells to those who send to it.
@@ -35,6 +41,8 @@
 	total    int
 	// refused counts arrivals that found no room or were dropped.
 	refused int
+	// queued is the queue at the end of the last window.
+	queued int
 }
 
 // load is what an endpoint sees of itself at the end of a window.
@@ -55,20 +63,23 @@
 	return age >= levelWindow && (l.total >= levelSamples || age >= levelMaxWindow)
 }
 
-// update ends a window.
+// update ends a window. The excess is what arrived and could not be run, and a part
+// of what waits beyond the target, since an answer's feedback acts only later.
 func (l *level) update(now clock.Time, ld load) {
-	excess := l.refused + max(0, ld.queued-target(ld.limit))
+	target := max(1, float64(ld.limit)*targetPart)
+	excess := float64(l.refused+ld.queued-l.queued) + queueGain*(float64(ld.queued)-target)
+	if free := ld.limit - ld.inFlight; ld.queued == 0 && free > 0 {
+		excess = -freeGain * float64(l.total) * float64(free) / float64(ld.limit)
+	}
 	if excess > 0 {
-		l.tighten(min(float64(excess), maxCut*float64(l.total)))
+		l.tighten(min(excess, maxCut*float64(l.total)))
 	} else {
-		l.loosen(ld)
+		l.loosen(min(-excess, maxGrowth*float64(max(l.total, 1))))
 	}
+	l.queued = ld.queued
 	l.started, l.arrivals, l.total, l.refused = now, [call.Priorities]int{}, 0, 0
 }
 
-// target is the queue length at which an endpoint is neither idle nor overloaded.
-func target(limit int) int { return max(1, limit/4) }
-
 // tighten turns away the excess, counted in calls of the last window.
 func (l *level) tighten(excess float64) {
 	for excess > 0 {
@@ -88,20 +99,17 @@
 	}
 }
 
-func (l *level) loosen(ld load) {
+// loosen lets in more, counted in calls of the last window.
+func (l *level) loosen(more float64) {
 	if l.threshold == call.Low && l.share >= 1 {
 		return
 	}
-	part := growth
-	if ld.queued == 0 && ld.inFlight < ld.limit*9/10 {
-		part = openGrowth
-	}
 	at := float64(l.arrivals[l.threshold])
-	gain := 1 + part
+	gain := maxGain
 	if at > 0 {
-		gain = 1 + min(1, part*float64(max(l.total, 1))/at)
+		gain = min(maxGain, 1+more/at)
 	}
-	l.share = l.share*gain + minShare*part
+	l.share = max(l.share, minShare) * gain
 	if l.share < 1 {
 		return
 	}
--- a/internal/decide/shed/shed.go
+++ b/internal/decide/shed/shed.go
@@ -131,3 +131,7 @@
 	}
 	return sum
 }
+
+// Level is the admission level that the route's answers tell of: the threshold plus
+// the part of the calls at it that is not admitted.
+func (r *Route) Level() float64 { return r.level }
--- a/internal/experiment/job.go
+++ b/internal/experiment/job.go
@@ -45,7 +45,7 @@
 // arrive offers the job to its endpoint.
 func (j *job) arrive() {
 	now := j.w.now
-	j.item.Owner, j.arrived = j, now
+	j.item.Owner, j.arrived, j.feedback = j, now, open
 	if j.w.policy.deadlines && now >= j.root.deadline {
 		j.end(result{notRun: true})
 		return
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -93,7 +93,7 @@
 // ratio is the answered part of the requests sent in a time.
 func (t *tally) ratio(from, to clock.Time) float64 {
 	sent, answered := 0, 0
-	for i := int(time.Duration(from) / bin); i < int(time.Duration(to)/bin) && i < len(t.bins); i++ {
+	for i := max(0, int(time.Duration(from)/bin)); i < int(time.Duration(to)/bin) && i < len(t.bins); i++ {
 		sent += t.bins[i].sent
 		answered += t.bins[i].answered
 	}
--- a/internal/experiment/send.go
+++ b/internal/experiment/send.go
@@ -25,14 +25,14 @@
 	s.from.tried = s.tried
 	v := s.w.policy.choose(s.w.now, s.from, s.from.views[s.what.service], s.w.rnd)
 	if v == nil {
-		s.done(result{notRun: true, unused: s.left})
+		s.done(result{notRun: true, unused: s.left, feedback: open})
 		return
 	}
 	s.tried = append(s.tried, v.endpoint)
 	v.load.Begin()
 	if !s.w.reaches(s.from, v.endpoint.node) {
 		s.w.after(s.w.delay(s.from, v.endpoint.node), func() {
-			s.back(v, result{notRun: true, unreached: true, unused: s.left})
+			s.back(v, result{notRun: true, unreached: true, unused: s.left, feedback: open})
 		})
 		return
 	}
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -175,6 +175,9 @@
 	feedback   call.Feedback
 }
 
+// open is the feedback of a place without a threshold.
+var open = call.Feedback{ShareMilli: 1000}
+
 // tighter returns the feedback that admits less.
 func tighter(a, b call.Feedback) call.Feedback {
 	if b.Threshold > a.Threshold || b.Threshold == a.Threshold && b.ShareMilli < a.ShareMilli {
