Overload: the limit follows sheds only, the threshold opens by free places

Cause: after a slowed deep service the gradient limit and the sample-bound windows kept endpoints shut.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -123,13 +123,12 @@
 	return true
 }
 
-// Done gives a call's place back. Total is the time that the call held it, own the
-// part without its sub-calls.
-func (c *Controller) Done(now clock.Time, total, own time.Duration, o limit.Outcome) {
-	c.limit.Observe(now, own, c.inFlight, o)
+// Done gives a call's place back; took is the time that the call held it.
+func (c *Controller) Done(now clock.Time, took time.Duration, o limit.Outcome) {
+	c.limit.Observe(now, o)
 	c.inFlight--
 	if o == limit.Ran {
-		c.learn(total)
+		c.learn(took)
 	}
 	c.tick(now)
 }
--- a/internal/decide/admission/level.go
+++ b/internal/decide/admission/level.go
@@ -10,24 +10,14 @@
 const (
 	// levelWindow is the shortest time between changes of the level.
 	levelWindow = 50 * time.Millisecond
-	// levelSamples is the fewest arrivals that a change rests on, unless levelMaxWindow passed.
-	levelSamples = 20
-	// levelMaxWindow is the longest time between changes while calls arrive.
-	levelMaxWindow = 250 * time.Millisecond
 	// minShare is the smallest share admitted at the threshold; below it the threshold rises.
 	minShare = 0.02
 	// maxCut bounds the part of the arrivals that one change may turn away.
 	maxCut = 0.2
-	// maxGrowth bounds the part of the arrivals that one change may let in besides.
-	maxGrowth = 0.15
-	// maxGain bounds the factor by which one change raises the share.
-	maxGain = 2.0
 	// targetPart is the queue, in parts of the limit, at which nothing is changed.
-	targetPart = 0.25
+	targetPart = 0.75
 	// queueGain is the part of the queue's distance from the target made up by one change.
 	queueGain = 0.1
-	// freeGain is the part of the free places made up by one change.
-	freeGain = 0.5
 )
 
 // level is the admission threshold that an endpoint tells to those who send to it.
@@ -59,22 +49,22 @@
 
 // due reports whether the window has ended.
 func (l *level) due(now clock.Time) bool {
-	age := now.Sub(l.started)
-	return age >= levelWindow && (l.total >= levelSamples || age >= levelMaxWindow)
+	return now.Sub(l.started) >= levelWindow
 }
 
 // update ends a window. The excess is what arrived and could not be run, and a part
 // of what waits beyond the target, since an answer's feedback acts only later.
 func (l *level) update(now clock.Time, ld load) {
+	free := float64(ld.limit-ld.inFlight) / float64(ld.limit)
 	target := max(1, float64(ld.limit)*targetPart)
 	excess := float64(l.refused+ld.queued-l.queued) + queueGain*(float64(ld.queued)-target)
-	if free := ld.limit - ld.inFlight; ld.queued == 0 && free > 0 {
-		excess = -freeGain * float64(l.total) * float64(free) / float64(ld.limit)
-	}
-	if excess > 0 {
+	switch {
+	case ld.queued == 0 && free > 0:
+		l.loosen(1 + free*free)
+	case excess > 0:
 		l.tighten(min(excess, maxCut*float64(l.total)))
-	} else {
-		l.loosen(min(-excess, maxGrowth*float64(max(l.total, 1))))
+	default:
+		l.loosen(1 + min(1, -excess/float64(max(1, l.total))))
 	}
 	l.queued = ld.queued
 	l.started, l.arrivals, l.total, l.refused = now, [call.Priorities]int{}, 0, 0
@@ -99,17 +89,12 @@
 	}
 }
 
-// loosen lets in more, counted in calls of the last window.
-func (l *level) loosen(more float64) {
+// loosen raises the share admitted by a factor.
+func (l *level) loosen(factor float64) {
 	if l.threshold == call.Low && l.share >= 1 {
 		return
 	}
-	at := float64(l.arrivals[l.threshold])
-	gain := maxGain
-	if at > 0 {
-		gain = min(maxGain, 1+more/at)
-	}
-	l.share = max(l.share, minShare) * gain
+	l.share = max(l.share, minShare) * factor
 	if l.share < 1 {
 		return
 	}
