Overload: the admission threshold heeds free places and the queue's trend

Cause: bursts that a short queue takes in were counted as excess. Change: tighten only above half the target queue; the trend counts in part.

--- a/internal/decide/admission/level.go
+++ b/internal/decide/admission/level.go
@@ -16,6 +16,10 @@
 	maxCut = 0.2
 	// targetPart is the queue, in parts of the limit, at which nothing is changed.
 	targetPart = 0.75
+	// maxGrowth bounds the part of the arrivals let in besides by one change, unless places are free.
+	maxGrowth = 0.1
+	// trendGain is the part of the queue's growth that is taken for excess.
+	trendGain = 0.4
 	// queueGain is the part of the queue's distance from the target made up by one change.
 	queueGain = 0.1
 )
@@ -57,14 +61,14 @@
 func (l *level) update(now clock.Time, ld load) {
 	free := float64(ld.limit-ld.inFlight) / float64(ld.limit)
 	target := max(1, float64(ld.limit)*targetPart)
-	excess := float64(l.refused+ld.queued-l.queued) + queueGain*(float64(ld.queued)-target)
+	queued := float64(ld.queued)
+	excess := float64(l.refused) + trendGain*(queued-float64(l.queued)) + queueGain*(queued-target)
+	total := float64(max(1, l.total))
 	switch {
-	case ld.queued == 0 && free > 0:
-		l.loosen(1 + free*free)
-	case excess > 0:
-		l.tighten(min(excess, maxCut*float64(l.total)))
-	default:
-		l.loosen(1 + min(1, -excess/float64(max(1, l.total))))
+	case excess <= 0:
+		l.loosen(1 + min(maxGrowth, -excess/total) + free*free)
+	case l.refused > 0 || queued > target/2:
+		l.tighten(min(excess, maxCut*total))
 	}
 	l.queued = ld.queued
 	l.started, l.arrivals, l.total, l.refused = now, [call.Priorities]int{}, 0, 0
