Overload: sub-calls of requests under way go before new requests

Cause: sub-calls of normal requests waited behind new requests of high priority, and the work above them was lost. Change: below critical, calls under way are ordered before new ones, then by priority.

--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -36,12 +36,19 @@
 // Waiting reports whether the item is in a queue.
 func (it *Item) Waiting() bool { return it.flow != nil }
 
+// class orders critical calls above all others, below them the sub-calls of requests
+// under way above new requests, and each of these by priority.
 func (it *Item) class() int {
-	c := 2 * int(it.Priority)
-	if it.Depth > 0 {
-		c++
-	}
-	return c
+	underWay := it.Depth > 0
+	switch {
+	case it.Priority == call.Critical && underWay:
+		return classes - 1
+	case it.Priority == call.Critical:
+		return classes - 2
+	case underWay:
+		return int(call.Critical) + int(it.Priority)
+	}
+	return int(it.Priority)
 }
 
 // flow holds one account's items of a class, those with most time spent first.
