Overload: the nodes decide with the same code as the experiment

Change: the gate runs admission.Controller, dispatch runs pick.Choose, the retry budget and the entry's shed; answers carry the tightest threshold of their sub-calls.

--- a/internal/api/egress/egress.go
+++ b/internal/api/egress/egress.go
@@ -83,7 +83,7 @@
 		Idempotent:  route.Idempotent,
 		Allowance:   parent.TakeAllowance(),
 		Depth:       parent.Call.Depth + 1,
-		Spent:       parent.Call.Spent,
+		Spent:       parent.Call.Spent + h.clock.Now().Sub(parent.Begun),
 		AnswerLimit: route.AnswerLimitBytes,
 		Request:     r,
 	}
@@ -99,5 +99,8 @@
 	if result.Overloaded {
 		parent.MarkOverloaded()
 	}
+	if result.Feedback != nil {
+		parent.Learn(result.Feedback)
+	}
 	return result
 }
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -119,6 +119,14 @@
 	Queued uint32
 }
 
+// Tighter returns f with the threshold of o where o admits less.
+func (f Feedback) Tighter(o Feedback) Feedback {
+	if o.Threshold > f.Threshold || o.Threshold == f.Threshold && o.ShareMilli < f.ShareMilli {
+		f.Threshold, f.ShareMilli = o.Threshold, o.ShareMilli
+	}
+	return f
+}
+
 // Fail returns the result of a call that came to a failure, with its allowance unspent.
 func Fail(f *Failure, unused int) Result {
 	return Result{Failure: f, Unused: unused, Overloaded: f.Overload()}
--- a/internal/decide/admission/level.go
+++ b/internal/decide/admission/level.go
@@ -10,6 +10,8 @@
 const (
 	// levelWindow is the shortest time between changes of the level.
 	levelWindow = 50 * time.Millisecond
+	// maxWindows bounds the windows made up for at once.
+	maxWindows = 100
 	// minShare is the smallest share admitted at the threshold; below it the threshold rises.
 	minShare = 0.02
 	// maxCut bounds the part of the arrivals that one change may turn away.
@@ -66,7 +68,7 @@
 	total := float64(max(1, l.total))
 	switch {
 	case excess <= 0:
-		l.loosen(1 + min(maxGrowth, -excess/total) + free*free)
+		l.loosenFor(now.Sub(l.started), 1+min(maxGrowth, -excess/total)+free*free)
 	case l.refused > 0 || queued > target/2:
 		l.tighten(min(excess, maxCut*total))
 	}
@@ -83,7 +85,7 @@
 			l.share *= rest / at
 			return
 		}
-		if l.threshold == call.Critical {
+		if !l.arrivesAbove() {
 			l.share = max(minShare, l.share/2)
 			return
 		}
@@ -93,6 +95,25 @@
 	}
 }
 
+// arrivesAbove reports whether calls above the threshold arrived. A threshold above
+// all that arrives would shut the endpoint without a probe.
+func (l *level) arrivesAbove() bool {
+	for p := l.threshold + 1; p < call.Priorities; p++ {
+		if l.arrivals[p] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// loosenFor loosens once for each window that has passed, so that an endpoint to which
+// hardly anything comes opens as fast as a busy one.
+func (l *level) loosenFor(age time.Duration, factor float64) {
+	for range min(maxWindows, int(age/levelWindow)) {
+		l.loosen(factor)
+	}
+}
+
 // loosen raises the share admitted by a factor.
 func (l *level) loosen(factor float64) {
 	if l.threshold == call.Low && l.share >= 1 {
--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -3,6 +3,7 @@
 package pick
 
 import (
+	"slices"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/clock"
@@ -26,12 +27,9 @@
 	In(domain string) bool
 }
 
-// Tried reports whether a call was sent to an endpoint before.
-type Tried[E any] func(E) bool
-
-// Choose returns an endpoint that was not tried, the zero value if there is none.
+// Choose returns an endpoint that is not among those tried, the zero value if there is none.
 // Draw returns a random number in [0, n).
-func Choose[E Endpoint](now clock.Time, all []E, domain string, tried Tried[E], draw func(n int) int) E {
+func Choose[E Endpoint](now clock.Time, all []E, domain string, tried []E, draw func(n int) int) E {
 	ejected, untried := census(now, all, tried)
 	heed := ejected > 0 && ejected < untried && 2*ejected <= len(all)
 	near := drawTwo(now, all, domain, true, heed, tried, draw)
@@ -45,9 +43,9 @@
 	return any.best
 }
 
-func census[E Endpoint](now clock.Time, all []E, tried Tried[E]) (ejected, untried int) {
+func census[E Endpoint](now clock.Time, all []E, tried []E) (ejected, untried int) {
 	for _, e := range all {
-		if tried(e) {
+		if slices.Contains(tried, e) {
 			continue
 		}
 		untried++
@@ -65,11 +63,11 @@
 }
 
 // drawTwo draws two endpoints without building a list of the eligible ones.
-func drawTwo[E Endpoint](now clock.Time, all []E, domain string, near, heed bool, tried Tried[E], draw func(int) int) two[E] {
+func drawTwo[E Endpoint](now clock.Time, all []E, domain string, near, heed bool, tried []E, draw func(int) int) two[E] {
 	var first, second, none E
 	seen := 0
 	for _, e := range all {
-		if tried(e) || near && !e.In(domain) || heed && e.Load().Ejected(now) {
+		if slices.Contains(tried, e) || near && !e.In(domain) || heed && e.Load().Ejected(now) {
 			continue
 		}
 		seen++
--- a/internal/experiment/choose.go
+++ b/internal/experiment/choose.go
@@ -2,13 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/decide/pick"
 )
 
 // chooser picks an untried endpoint, or nil.
-type chooser func(now clock.Time, n *node, views []*view, rnd *rand.Rand) *view
+type chooser func(now clock.Time, n *node, views, tried []*view, rnd *rand.Rand) *view
 
 // view is what one node knows of one endpoint. It implements pick.Endpoint.
 type view struct {
@@ -22,34 +23,34 @@
 // In implements pick.Endpoint.
 func (v *view) In(domain string) bool { return v.endpoint.node.domain == domain }
 
-func chooseOwn(now clock.Time, n *node, views []*view, rnd *rand.Rand) *view {
-	return pick.Choose(now, views, n.domain, n.triedView, rnd.IntN)
+func chooseOwn(now clock.Time, n *node, views, tried []*view, rnd *rand.Rand) *view {
+	return pick.Choose(now, views, n.domain, tried, rnd.IntN)
 }
 
-func chooseAny(_ clock.Time, n *node, views []*view, rnd *rand.Rand) *view {
-	return drawFrom(n, views, rnd, func(*view) bool { return true })
+func chooseAny(_ clock.Time, _ *node, views, tried []*view, rnd *rand.Rand) *view {
+	return drawFrom(views, tried, rnd, func(*view) bool { return true })
 }
 
 // chooseFirstVersion is the choice of the product's first version.
-func chooseFirstVersion(_ clock.Time, n *node, views []*view, rnd *rand.Rand) *view {
+func chooseFirstVersion(_ clock.Time, n *node, views, tried []*view, rnd *rand.Rand) *view {
 	near := func(v *view) bool { return v.In(n.domain) }
-	a := drawFrom(n, views, rnd, near)
+	a := drawFrom(views, tried, rnd, near)
 	if a == nil {
 		near = func(*view) bool { return true }
-		a = drawFrom(n, views, rnd, near)
+		a = drawFrom(views, tried, rnd, near)
 	}
-	b := drawFrom(n, views, rnd, near)
+	b := drawFrom(views, tried, rnd, near)
 	if a != nil && b.load.InFlight() < a.load.InFlight() {
 		return b
 	}
 	return a
 }
 
-func drawFrom(n *node, views []*view, rnd *rand.Rand, fits func(*view) bool) *view {
+func drawFrom(views, tried []*view, rnd *rand.Rand, fits func(*view) bool) *view {
 	var found *view
 	seen := 0
 	for _, v := range views {
-		if n.triedView(v) || !fits(v) {
+		if slices.Contains(tried, v) || !fits(v) {
 			continue
 		}
 		seen++
--- a/internal/experiment/job.go
+++ b/internal/experiment/job.go
@@ -96,7 +96,7 @@
 	j.ended = true
 	delete(j.e.jobs, j)
 	r.unused, r.spent = j.allowance, j.spent
-	r.feedback = tighter(j.e.place.Feedback(j.w.now), j.feedback)
+	r.feedback = j.e.place.Feedback(j.w.now).Tighter(j.feedback)
 	r.overloaded = r.overloaded || j.overlower
 	j.reply(r)
 }
@@ -148,7 +148,7 @@
 		return
 	}
 	j.allowance += r.unused
-	j.feedback = tighter(j.feedback, r.feedback)
+	j.feedback = j.feedback.Tighter(r.feedback)
 	j.overlower = j.overlower || r.overloaded
 	if !r.ok {
 		j.finish(result{}, limit.Lost)
--- a/internal/experiment/send.go
+++ b/internal/experiment/send.go
@@ -17,18 +17,17 @@
 	depth    int
 	spent    time.Duration
 	priority call.Priority
-	tried    []*endpoint
+	tried    []*view
 	done     func(result)
 }
 
 func (s *send) attempt() {
-	s.from.tried = s.tried
-	v := s.w.policy.choose(s.w.now, s.from, s.from.views[s.what.service], s.w.rnd)
+	v := s.w.policy.choose(s.w.now, s.from, s.from.views[s.what.service], s.tried, s.w.rnd)
 	if v == nil {
 		s.done(result{notRun: true, unused: s.left, feedback: open})
 		return
 	}
-	s.tried = append(s.tried, v.endpoint)
+	s.tried = append(s.tried, v)
 	v.load.Begin()
 	if !s.w.reaches(s.from, v.endpoint.node) {
 		s.w.after(s.w.delay(s.from, v.endpoint.node), func() {
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -41,17 +41,6 @@
 	views   map[string][]*view
 	routes  map[string]*shed.Route
 	budgets map[string]*budget.Budget
-	// tried are the endpoints that the call in hand was sent to.
-	tried []*endpoint
-}
-
-func (n *node) triedView(v *view) bool {
-	for _, e := range n.tried {
-		if e == v.endpoint {
-			return true
-		}
-	}
-	return false
 }
 
 // endpoint is a fake backend server behind its node's admission.
@@ -177,11 +166,3 @@
 
 // open is the feedback of a place without a threshold.
 var open = call.Feedback{ShareMilli: 1000}
-
-// tighter returns the feedback that admits less.
-func tighter(a, b call.Feedback) call.Feedback {
-	if b.Threshold > a.Threshold || b.Threshold == a.Threshold && b.ShareMilli < a.ShareMilli {
-		a.Threshold, a.ShareMilli = b.Threshold, b.ShareMilli
-	}
-	return a
-}
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -41,30 +41,39 @@
 	peers     Peers
 	local     Local
 	metric    *metric.Set
+	sheds     sheds
+	budgets   budgets
 }
 
 // New returns a dispatcher for the endpoints.
 func New(self Self, c clock.Clock, e *table.Endpoints, p Peers, l Local, m *metric.Set) *Dispatcher {
-	return &Dispatcher{self: self, clock: c, endpoints: e, peers: p, local: l, metric: m}
+	return &Dispatcher{
+		self: self, clock: c, endpoints: e, peers: p, local: l, metric: m,
+		sheds: sheds{clock: c, metric: m}, budgets: budgets{metric: m},
+	}
 }
 
 // Do sends c until it has an answer, may not be sent again, or its deadline has passed.
 func (d *Dispatcher) Do(ctx context.Context, c *call.Call) call.Result {
+	if f := d.sheds.admit(c); f != nil {
+		return call.Fail(f, c.Allowance)
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline.Sub(d.clock.Now()))
 	defer cancel()
 	var last call.Result
-	tried := map[string]bool{}
+	var tried []*table.Endpoint
 	left := c.Allowance
 	for {
 		e := d.pick(c.Service, tried)
 		if e == nil {
 			return d.exhausted(last, c, left)
 		}
-		tried[e.Node] = true
+		tried = append(tried, e)
 		last = d.send(ctx, e, c, left)
 		left = last.Unused
+		d.sheds.learn(c, last.Feedback)
 		reason, again := again(ctx, c, &last)
-		if !again || left == 0 {
+		if !again || left == 0 || !d.budgets.take(c.Service, reason) {
 			return last
 		}
 		left--
@@ -85,7 +94,8 @@
 	attempt := *c
 	attempt.ID = call.NewID()
 	attempt.Allowance = left
-	defer e.Begin()()
+	e.Load().Begin()
+	defer e.Load().End()
 	var r call.Result
 	if e.Node == d.self.ID {
 		r = d.local.Handle(ctx, &attempt)
@@ -95,8 +105,9 @@
 	if r.Failure != nil && r.Failure.Reason == call.PeerLost {
 		d.settle(ctx, e, attempt.ID, &r)
 	}
-	if r.Feedback != nil {
-		e.SetFeedback(r.Feedback)
+	d.learn(e, &r)
+	if r.Answer != nil {
+		d.budgets.succeed(c.Service)
 	}
 	return r
 }
--- a/internal/system/dispatch/pick.go
+++ b/internal/system/dispatch/pick.go
@@ -3,31 +3,36 @@
 import (
 	"math/rand/v2"
 
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/decide/pick"
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
-// pick returns an untried endpoint: the less busy of two drawn, near ones first.
-func (d *Dispatcher) pick(service string, tried map[string]bool) *table.Endpoint {
-	var near, far []*table.Endpoint
-	for _, e := range d.endpoints.Of(service) {
-		if tried[e.Node] {
-			continue
-		}
-		if e.Domain == d.self.Domain {
-			near = append(near, e)
-		} else {
-			far = append(far, e)
-		}
+// pick returns an endpoint that was not tried, or nil.
+func (d *Dispatcher) pick(service string, tried []*table.Endpoint) *table.Endpoint {
+	return pick.Choose(d.clock.Now(), d.endpoints.Of(service), d.self.Domain, tried, rand.IntN)
+}
+
+// learn records what an attempt told about its endpoint.
+func (d *Dispatcher) learn(e *table.Endpoint, r *call.Result) {
+	now := d.clock.Now()
+	if r.Feedback != nil {
+		e.Load().Learn(now, r.Feedback)
 	}
-	if len(near) == 0 {
-		near = far
+	if r.Failure == nil {
+		e.Load().Succeed()
+		return
 	}
-	if len(near) == 0 {
-		return nil
+	if blamed(r.Failure.Reason) && e.Load().Fail(now) {
+		d.metric.Counter("comfreycart_ejections_total", "reason", string(r.Failure.Reason)).Inc()
 	}
-	a, b := near[rand.IntN(len(near))], near[rand.IntN(len(near))]
-	if b.InFlight() < a.InFlight() {
-		return b
+}
+
+// blamed reports whether a failure counts against the endpoint.
+func blamed(r call.Reason) bool {
+	switch r {
+	case call.PeerUnreachable, call.PeerLost, call.BackendUnreachable, call.BackendLost, call.NoEndpoint:
+		return true
 	}
-	return a
+	return false
 }
--- a/internal/system/gate/gate.go
+++ b/internal/system/gate/gate.go
@@ -1,5 +1,5 @@
-// Package gate admits calls to a local backend server: a concurrency limit and a
-// bounded queue ordered by priority.
+// Package gate admits calls to a local backend server. The decisions are those of
+// package admission; the gate adds the lock, the waiting and the metrics' figures.
 package gate
 
 import (
@@ -9,113 +9,134 @@
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/decide/admission"
+	"comfreycart.dev/comfreycart/internal/decide/limit"
+	"comfreycart.dev/comfreycart/internal/decide/queue"
 )
 
-// queuePerSlot bounds the queue, in waiting calls per slot.
-const queuePerSlot = 2
+// retryAfter is what a refused caller is asked to wait.
+const retryAfter = time.Second
 
 // Gate guards one local backend server. It is safe for concurrent use.
 type Gate struct {
 	clock clock.Clock
 
-	mu       sync.Mutex
-	limit    int
-	inFlight int
-	queue    [call.Priorities][]*waiter
-	queued   int
+	mu         sync.Mutex
+	controller *admission.Controller
 }
 
+// waiter is one call at the gate.
 type waiter struct {
-	ready chan struct{}
-	// admitted is guarded by the gate's lock.
-	admitted bool
+	item queue.Item
+	// ready gets the verdict of a queued call: Run, Refused or Late.
+	ready chan admission.Verdict
 }
 
-// New returns a gate that runs up to limit calls at a time.
-func New(c clock.Clock, limit int) *Gate {
-	return &Gate{clock: c, limit: limit}
+var waiters = sync.Pool{New: func() any {
+	w := &waiter{ready: make(chan admission.Verdict, 1)}
+	w.item.Owner = w
+	return w
+}}
+
+// Place is the right to run one call. It must be given back once.
+type Place struct {
+	gate  *Gate
+	begun clock.Time
+}
+
+// New returns a gate before a backend server that announced its slots.
+func New(c clock.Clock, slots int) *Gate {
+	return &Gate{clock: c, controller: admission.New(slots)}
 }
 
-// SetLimit changes the number of calls that run at a time.
-func (g *Gate) SetLimit(limit int) {
+// SetSlots changes the announced slots.
+func (g *Gate) SetSlots(slots int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limit = limit
+	g.controller.SetSlots(slots)
 	g.wake()
 }
 
-// Acquire waits for a place to run c. The release function must be called once
-// after the call has ended. A failure means that the call does not run.
-func (g *Gate) Acquire(ctx context.Context, c *call.Call) (release func(), f *call.Failure) {
+// Acquire waits for a place to run c. A failure means that the call does not run:
+// it has left the queue before the failure is returned.
+func (g *Gate) Acquire(ctx context.Context, c *call.Call) (Place, *call.Failure) {
+	w := waiters.Get().(*waiter)
+	defer waiters.Put(w)
+	w.describe(c)
 	g.mu.Lock()
-	if g.inFlight < g.limit && g.queued == 0 {
-		g.inFlight++
-		g.mu.Unlock()
-		return g.release, nil
+	now := g.clock.Now()
+	verdict, evicted := g.controller.Offer(now, &w.item)
+	g.mu.Unlock()
+	if evicted != nil {
+		evicted.Owner.(*waiter).ready <- admission.Refused
 	}
-	if g.queued >= g.limit*queuePerSlot {
-		g.mu.Unlock()
-		return nil, call.Refuse(call.QueueFull, "service %s has no room", c.Service).After(time.Second)
+	if verdict == admission.Wait {
+		verdict = g.wait(ctx, w)
+		now = g.clock.Now()
 	}
-	w := &waiter{ready: make(chan struct{})}
-	g.queue[c.Priority] = append(g.queue[c.Priority], w)
-	g.queued++
-	g.mu.Unlock()
-	return g.wait(ctx, c, w)
+	if verdict == admission.Run {
+		return Place{gate: g, begun: now}, nil
+	}
+	return Place{}, refusal(ctx, verdict, c)
+}
+
+func (w *waiter) describe(c *call.Call) {
+	w.item.Priority = c.Priority
+	w.item.Account = c.Account
+	w.item.Depth = c.Depth
+	w.item.Spent = c.Spent
+	w.item.Deadline = c.Deadline
 }
 
-func (g *Gate) wait(ctx context.Context, c *call.Call, w *waiter) (func(), *call.Failure) {
+// wait returns the verdict on a queued call, Late if its context ended first.
+func (g *Gate) wait(ctx context.Context, w *waiter) admission.Verdict {
 	select {
-	case <-w.ready:
-		return g.release, nil
+	case v := <-w.ready:
+		return v
 	case <-ctx.Done():
 	}
-	if !g.abandon(c.Priority, w) {
-		return g.release, nil
-	}
-	if ctx.Err() == context.Canceled {
-		return nil, call.Refuse(call.Cancelled, "the caller went away while the call was queued")
+	g.mu.Lock()
+	removed := g.controller.Remove(&w.item)
+	g.mu.Unlock()
+	if removed {
+		return admission.Late
 	}
-	return nil, call.Refuse(call.QueueTimeout, "deadline passed while queued at service %s", c.Service)
+	return <-w.ready
 }
 
-// abandon takes a waiter out of the queue; false means that it was admitted first.
-func (g *Gate) abandon(p call.Priority, w *waiter) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if w.admitted {
-		return false
+func refusal(ctx context.Context, v admission.Verdict, c *call.Call) *call.Failure {
+	if ctx.Err() == context.Canceled {
+		return call.Refuse(call.Cancelled, "the caller went away while the call was queued")
 	}
-	for i, x := range g.queue[p] {
-		if x == w {
-			g.queue[p] = append(g.queue[p][:i:i], g.queue[p][i+1:]...)
-			g.queued--
-			break
-		}
+	if v == admission.Refused {
+		return call.Refuse(call.QueueFull, "service %s has no room", c.Service).After(retryAfter)
 	}
-	return true
+	return call.Refuse(call.QueueTimeout, "service %s cannot run the call before its deadline", c.Service)
 }
 
-func (g *Gate) release() {
+// Release gives the place back with the call's outcome.
+func (p Place) Release(o limit.Outcome) {
+	g := p.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.inFlight--
+	now := g.clock.Now()
+	g.controller.Done(now, now.Sub(p.begun), o)
 	g.wake()
 }
 
-// wake admits waiters while there is room, highest priority first.
+// wake gives free places to waiting calls.
 func (g *Gate) wake() {
-	for p := call.Priorities; p > 0 && g.inFlight < g.limit; {
-		q := g.queue[p-1]
-		if len(q) == 0 {
-			p--
-			continue
+	now := g.clock.Now()
+	for {
+		it, ok := g.controller.Next(now)
+		if it == nil {
+			return
 		}
-		g.queue[p-1] = q[1:]
-		g.queued--
-		g.inFlight++
-		q[0].admitted = true
-		close(q[0].ready)
+		verdict := admission.Late
+		if ok {
+			verdict = admission.Run
+		}
+		it.Owner.(*waiter).ready <- verdict
 	}
 }
 
@@ -123,10 +144,6 @@
 func (g *Gate) Feedback() *call.Feedback {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &call.Feedback{
-		ShareMilli: 1000,
-		InFlight:   uint32(g.inFlight),
-		Limit:      uint32(g.limit),
-		Queued:     uint32(g.queued),
-	}
+	f := g.controller.Feedback(g.clock.Now())
+	return &f
 }
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -9,6 +9,7 @@
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/decide/limit"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/system/gate"
@@ -62,12 +63,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline.Sub(s.clock.Now()))
 	defer cancel()
-	release, f := st.gate.Acquire(ctx, c)
+	place, f := st.gate.Acquire(ctx, c)
 	if f != nil {
 		s.fences.Fence(c.ID)
 		return s.refused(st, c, f)
 	}
-	defer release()
+	outcome := limit.Lost
+	defer func() { place.Release(outcome) }()
 	if ctx.Err() != nil {
 		s.fences.Fence(c.ID)
 		return s.refused(st, c, call.Refuse(call.QueueTimeout, "deadline passed while queued"))
@@ -75,10 +77,24 @@
 	if !s.fences.Start(c.ID) {
 		return s.refused(st, c, call.Refuse(call.Fenced, "the call was fenced while it was queued"))
 	}
-	return s.run(ctx, st, local, c)
+	r := s.run(ctx, st, local, c)
+	outcome = outcomeOf(&r)
+	return r
+}
+
+// outcomeOf tells the concurrency limit how a call ended.
+func outcomeOf(r *call.Result) limit.Outcome {
+	switch {
+	case r.Answer != nil:
+		return limit.Ran
+	case r.Failure.Reason == call.ShedByBackend:
+		return limit.Shed
+	}
+	return limit.Lost
 }
 
 func (s *Server) refused(st *station, c *call.Call, f *call.Failure) call.Result {
+	s.metric.Counter("comfreycart_sheds_total", "service", c.Service, "priority", c.Priority.String(), "reason", string(f.Reason)).Inc()
 	r := call.Fail(f, c.Allowance)
 	r.Feedback = st.gate.Feedback()
 	return r
@@ -103,6 +119,7 @@
 		st = &station{gate: gate.New(s.clock, local.Slots), pool: newPool(local.Address)}
 		s.stations[service] = st
 	}
+	st.gate.SetSlots(local.Slots)
 	return local, st, nil
 }
 
@@ -111,6 +128,7 @@
 	handle, running := s.calls.Open(ctx, c)
 	defer s.calls.Close(handle)
 	begin := s.clock.Now()
+	running.Begun = begin
 	answer, f := exchange(ctx, st.pool, s.clock, c, handle)
 	metric.Observe(s.metric.Histogram("comfreycart_backend_seconds", "service", local.Service), s.clock.Now().Sub(begin))
 	left, overloaded := running.End()
@@ -118,7 +136,7 @@
 	if f != nil && f.Overload() {
 		r.Overloaded = true
 	}
-	r.Feedback = st.gate.Feedback()
+	r.Feedback = running.Tightest(st.gate.Feedback())
 	return r
 }
 
@@ -137,6 +155,8 @@
 	}
 	s.metric.Gauge("comfreycart_limit_calls", load(func(f *call.Feedback) uint32 { return f.Limit }), "service", service)
 	s.metric.Gauge("comfreycart_running_calls", load(func(f *call.Feedback) uint32 { return f.InFlight }), "service", service)
+	s.metric.Gauge("comfreycart_admission_threshold", load(func(f *call.Feedback) uint32 { return uint32(f.Threshold) }), "service", service)
+	s.metric.Gauge("comfreycart_admission_share_milli", load(func(f *call.Feedback) uint32 { return f.ShareMilli }), "service", service)
 	s.metric.Gauge("comfreycart_queued_calls", load(func(f *call.Feedback) uint32 { return f.Queued }), "service", service)
 }
 
--- a/internal/table/calls.go
+++ b/internal/table/calls.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
 )
 
 const (
@@ -21,10 +22,13 @@
 	Call *call.Call
 	// Ctx ends with the call; its sub-calls end with it.
 	Ctx context.Context
+	// Begun is when the call began to run; it is set before any sub-call.
+	Begun clock.Time
 
 	mu         sync.Mutex
 	left       int
 	overloaded bool
+	below      *call.Feedback
 }
 
 // TakeAllowance takes part of the retries left, for one sub-call.
@@ -50,6 +54,28 @@
 	r.overloaded = true
 }
 
+// Learn takes in the feedback of a sub-call.
+func (r *Running) Learn(f *call.Feedback) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.below == nil {
+		r.below = &call.Feedback{ShareMilli: f.ShareMilli, Threshold: f.Threshold}
+		return
+	}
+	*r.below = r.below.Tighter(*f)
+}
+
+// Tightest returns f with the threshold of the sub-call that admits least.
+func (r *Running) Tightest(f *call.Feedback) *call.Feedback {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.below == nil {
+		return f
+	}
+	t := f.Tighter(*r.below)
+	return &t
+}
+
 // End returns the retries left and whether a sub-call was refused for overload.
 func (r *Running) End() (left int, overloaded bool) {
 	r.mu.Lock()
--- a/internal/table/endpoints.go
+++ b/internal/table/endpoints.go
@@ -7,6 +7,7 @@
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/decide/pick"
 )
 
 // Endpoint is a backend server that calls can be sent to, with what this node
@@ -21,32 +22,33 @@
 	// Added is when this node first heard of the endpoint.
 	Added clock.Time
 
-	slots    atomic.Int64
-	state    atomic.Value
-	inFlight atomic.Int64
-	feedback atomic.Pointer[call.Feedback]
+	state atomic.Value
+	load  pick.Load
 }
 
 // Slots is how many calls the endpoint runs at a time.
-func (e *Endpoint) Slots() int { return int(e.slots.Load()) }
+func (e *Endpoint) Slots() int { return e.load.Slots() }
 
 // State is what the backend server last said of itself.
 func (e *Endpoint) State() EndpointState { return e.state.Load().(EndpointState) }
 
 // InFlight is the number of this node's own calls there.
-func (e *Endpoint) InFlight() int { return int(e.inFlight.Load()) }
-
-// Begin counts a call sent there and returns the function that counts its end.
-func (e *Endpoint) Begin() (end func()) {
-	e.inFlight.Add(1)
-	return func() { e.inFlight.Add(-1) }
-}
+func (e *Endpoint) InFlight() int { return e.load.InFlight() }
 
 // Feedback is the endpoint's load as of its last answer, nil before the first.
-func (e *Endpoint) Feedback() *call.Feedback { return e.feedback.Load() }
+func (e *Endpoint) Feedback() *call.Feedback { return e.load.Feedback() }
+
+// Load is the endpoint's load as this node knows it.
+func (e *Endpoint) Load() *pick.Load { return &e.load }
 
-// SetFeedback records the endpoint's load.
-func (e *Endpoint) SetFeedback(f *call.Feedback) { e.feedback.Store(f) }
+// In reports whether the endpoint is in the failure domain.
+func (e *Endpoint) In(domain string) bool { return e.Domain == domain }
+
+// update records what the endpoint's node told of it.
+func (e *Endpoint) update(m MemberEndpoint) {
+	e.load.SetSlots(m.Slots, m.State == Warming)
+	e.state.Store(m.State)
+}
 
 // Endpoints indexes the members' endpoints by service. Readers take no lock.
 type Endpoints struct {
@@ -100,16 +102,15 @@
 	list := t.list(e.Service)
 	at := slices.IndexFunc(list, func(x *Endpoint) bool { return x.Node == m.ID })
 	if at >= 0 && list[at].Incarnation == m.Incarnation && list[at].Address == m.Address {
-		list[at].slots.Store(int64(e.Slots))
-		list[at].state.Store(e.State)
+		list[at].update(e)
 		return
 	}
 	added := &Endpoint{
 		Node: m.ID, Incarnation: m.Incarnation, Address: m.Address,
 		Domain: m.Domain, Service: e.Service, Added: t.clock.Now(),
 	}
-	added.slots.Store(int64(e.Slots))
-	added.state.Store(e.State)
+	added.load.Add(added.Added)
+	added.update(e)
 	list = slices.Clone(list)
 	if at >= 0 {
 		list[at] = added
