Overload: the threshold's window follows the service time

Cause: while a deep service was slow, the threshold swung with a period of 1.5 s, since a change shows only after a service time. Change: the window is half the service time within 50 to 300 ms, and the target queue is bounded to 60 ms.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -143,7 +143,7 @@
 
 func (c *Controller) tick(now clock.Time) {
 	if c.level.due(now) {
-		c.level.update(now, load{queued: c.queue.Len(), inFlight: c.inFlight, limit: c.limit.Value()})
+		c.level.update(now, load{queued: c.queue.Len(), inFlight: c.inFlight, limit: c.limit.Value(), service: c.estimate})
 	}
 }
 
--- a/internal/decide/admission/level.go
+++ b/internal/decide/admission/level.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// levelWindow is the shortest time between changes of the level.
-	levelWindow = 50 * time.Millisecond
+	// The time between changes of the level is a part of the service time, after which
+	// a change shows, within bounds.
+	windowPart = 0.5
+	minWindow  = 50 * time.Millisecond
+	maxWindow  = 300 * time.Millisecond
 	// maxWindows bounds the windows made up for at once.
 	maxWindows = 100
 	// minShare is the smallest share admitted at the threshold; below it the threshold rises.
@@ -18,6 +21,8 @@
 	maxCut = 0.2
 	// targetPart is the queue, in parts of the limit, at which nothing is changed.
 	targetPart = 0.75
+	// targetWait bounds the wait in that queue.
+	targetWait = 60 * time.Millisecond
 	// maxGrowth bounds the part of the arrivals let in besides by one change, unless places are free.
 	maxGrowth = 0.1
 	// trendGain is the part of the queue's growth that is taken for excess.
@@ -33,6 +38,7 @@
 	share     float64
 
 	started  clock.Time
+	window   time.Duration
 	arrivals [call.Priorities]int
 	total    int
 	// refused counts arrivals that found no room or were dropped.
@@ -44,9 +50,20 @@
 // load is what an endpoint sees of itself at the end of a window.
 type load struct {
 	queued, inFlight, limit int
+	// service is the time that a call holds its place.
+	service time.Duration
 }
 
-func newLevel() level { return level{share: 1} }
+// target is the queue, in calls, at which nothing is changed.
+func (ld load) target() float64 {
+	part := targetPart
+	if ld.service > 0 {
+		part = min(part, float64(targetWait)/float64(ld.service))
+	}
+	return max(1, part*float64(ld.limit))
+}
+
+func newLevel() level { return level{share: 1, window: minWindow} }
 
 func (l *level) arrive(p call.Priority) {
 	l.arrivals[p]++
@@ -55,14 +72,14 @@
 
 // due reports whether the window has ended.
 func (l *level) due(now clock.Time) bool {
-	return now.Sub(l.started) >= levelWindow
+	return now.Sub(l.started) >= l.window
 }
 
 // update ends a window. The excess is what arrived and could not be run, and a part
 // of what waits beyond the target, since an answer's feedback acts only later.
 func (l *level) update(now clock.Time, ld load) {
 	free := float64(ld.limit-ld.inFlight) / float64(ld.limit)
-	target := max(1, float64(ld.limit)*targetPart)
+	target := ld.target()
 	queued := float64(ld.queued)
 	excess := float64(l.refused) + trendGain*(queued-float64(l.queued)) + queueGain*(queued-target)
 	total := float64(max(1, l.total))
@@ -73,6 +90,7 @@
 		l.tighten(min(excess, maxCut*total))
 	}
 	l.queued = ld.queued
+	l.window = min(maxWindow, max(minWindow, time.Duration(windowPart*float64(ld.service))))
 	l.started, l.arrivals, l.total, l.refused = now, [call.Priorities]int{}, 0, 0
 }
 
@@ -109,7 +127,7 @@
 // loosenFor loosens once for each window that has passed, so that an endpoint to which
 // hardly anything comes opens as fast as a busy one.
 func (l *level) loosenFor(age time.Duration, factor float64) {
-	for range min(maxWindows, int(age/levelWindow)) {
+	for range min(maxWindows, int(age/l.window)) {
 		l.loosen(factor)
 	}
 }
