Overload: a silent route is probed, not opened

Cause: a route that was shut and silent opened by itself in half a second, and callers that retry hard filled it before the first answer came. Change: a stale route lets one request through every 100 ms, whose answer replaces what was known.

--- a/internal/decide/shed/shed.go
+++ b/internal/decide/shed/shed.go
@@ -13,10 +13,10 @@
 const (
 	// weight is the weight of an answer's threshold against those before it.
 	weight = 0.2
-	// silence is how long without an answer until the route opens by itself.
+	// silence is how long without an answer until what is known of a route is stale.
 	silence = 200 * time.Millisecond
-	// openPerSecond is by how many priorities a silent route opens in a second.
-	openPerSecond = 2.0
+	// probeEvery is the time between the requests let through to a route that is stale.
+	probeEvery = 100 * time.Millisecond
 	// window is the time between changes of the accounts' shares.
 	window = 50 * time.Millisecond
 	// keep is the part of an account's count that outlives a window.
@@ -34,6 +34,7 @@
 	// level is the threshold plus the part of the calls at it that is not admitted.
 	level   float64
 	learned clock.Time
+	probed  clock.Time
 
 	started  clock.Time
 	accounts map[string]*account
@@ -45,27 +46,35 @@
 	count float64
 }
 
-// Learn takes in the feedback of one answer.
+// Learn takes in the feedback of one answer. After a silence it replaces what was
+// known before.
 func (r *Route) Learn(now clock.Time, f call.Feedback) {
-	r.relax(now)
-	r.learned = now
 	seen := float64(f.Threshold) + 1 - float64(f.ShareMilli)/1000
+	if r.stale(now) {
+		r.level = seen
+	}
 	r.level += weight * (seen - r.level)
+	r.learned = now
 }
 
-// relax opens the route while no answers come.
-func (r *Route) relax(now clock.Time) {
-	quiet := now.Sub(r.learned)
-	if quiet <= silence || r.level == 0 {
-		return
-	}
-	r.level = max(0, r.level-openPerSecond*(quiet-silence).Seconds())
-	r.learned = now.Add(-silence)
-}
+func (r *Route) stale(now clock.Time) bool { return now.Sub(r.learned) > silence }
 
 // Admit decides on a new request; draw is random in [0, 1).
 func (r *Route) Admit(now clock.Time, p call.Priority, name string, draw float64) bool {
-	r.relax(now)
+	return r.admits(now, p, name, draw) || r.probe(now)
+}
+
+// probe lets a request through now and then while no answers come, so that the route
+// cannot stay shut.
+func (r *Route) probe(now clock.Time) bool {
+	if !r.stale(now) || now.Sub(r.probed) < probeEvery {
+		return false
+	}
+	r.probed = now
+	return true
+}
+
+func (r *Route) admits(now clock.Time, p call.Priority, name string, draw float64) bool {
 	threshold := call.Priority(min(r.level, float64(call.Critical)))
 	share := float64(threshold) + 1 - r.level
 	switch {
@@ -78,10 +87,7 @@
 	if now.Sub(r.started) >= window {
 		r.share(now, max(share, minShare))
 	}
-	if share >= 1 {
-		return true
-	}
-	return draw*a.count < r.bound
+	return share >= 1 || draw*a.count < r.bound
 }
 
 func (r *Route) count(name string) *account {
