--- a/internal/api/egress/egress.go
+++ b/internal/api/egress/egress.go
@@ -100,7 +100,7 @@
 		Idempotent:  route.Idempotent,
 		Allowance:   allowance,
 		Depth:       parent.Call.Depth + 1,
-		Spent:       parent.Call.Spent,
+		Spent:       parent.Call.Spent + h.clock.Now().Sub(parent.Begun),
 		AnswerLimit: route.AnswerLimitBytes,
 		Request:     r,
 	}, nil
@@ -119,5 +119,8 @@
 	if result.Failed() {
 		parent.MarkFailed()
 	}
+	if result.Feedback != nil {
+		parent.Learn(result.Feedback)
+	}
 	return result
 }
--- a/internal/table/calls.go
+++ b/internal/table/calls.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
 )
 
 const (
@@ -21,11 +22,15 @@
 	Call *call.Call
 	// Ctx ends with the call; its sub-calls end with it.
 	Ctx context.Context
+	// Begun is when the call began to run; it is set before any sub-call.
+	Begun clock.Time
 
 	mu    sync.Mutex
 	left  int
 	ended bool
 	below Below
+	// tightest is the threshold of the sub-call that admits least.
+	tightest *call.Feedback
 }
 
 // Below is what became of a call's sub-calls.
@@ -86,6 +91,28 @@
 	return r.below
 }
 
+// Learn takes in the feedback of a sub-call.
+func (r *Running) Learn(f *call.Feedback) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tightest == nil {
+		r.tightest = &call.Feedback{ShareMilli: f.ShareMilli, Threshold: f.Threshold}
+		return
+	}
+	*r.tightest = r.tightest.Tighter(*f)
+}
+
+// Tightest returns f with the threshold of the sub-call that admits least.
+func (r *Running) Tightest(f *call.Feedback) *call.Feedback {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tightest == nil {
+		return f
+	}
+	t := f.Tighter(*r.tightest)
+	return &t
+}
+
 // End ends the call and returns the retries left and what became of its sub-calls.
 func (r *Running) End() (left int, below Below) {
 	r.mu.Lock()
