Rates: parts of a token are gathered, one request waits for a token

Cause: test/script/rate_inside.txtar: 26.8% of an account at 0.6 of its rate were refused after a home's death. Found: Fenced was reset by every newer version, so all homes with a predecessor stopped for 4.2 s at each change of settings; and the list of holders and an account were locked in both orders. Change: installs are kept by version; one order of locks; homes of nearly empty buckets gather parts of a token; one request an account and node waits up to 200 ms.

--- a/internal/decide/escrow/levels.go
+++ b/internal/decide/escrow/levels.go
@@ -37,16 +37,16 @@
 	return min(lim.Cap, s.level+lim.Rate*now.Sub(s.at).Seconds())
 }
 
-// worth is the level from which on a home is asked.
-func worth(lim Limits) float64 {
-	least := min(1, lim.Cap/2)
-	return max(least, min(lim.Cap/4, lim.Rate*askInterval.Seconds()))
+// worth is the level from which on a home is asked for the part of a token that is
+// missing, or for more.
+func worth(missing float64, lim Limits) float64 {
+	return max(min(missing, lim.Cap/2), min(lim.Cap/4, lim.Rate*askInterval.Seconds()))
 }
 
 // Richest returns the domain whose home likely has most tokens, false if none is
-// worth asking.
-func (l *Levels) Richest(now clock.Time, domains []string, lim Limits) (string, bool) {
-	best, found := worth(lim), ""
+// worth asking. Own is what the asking home has itself.
+func (l *Levels) Richest(now clock.Time, own float64, domains []string, lim Limits) (string, bool) {
+	best, found := worth(max(1-own, 0), lim), ""
 	for _, d := range domains {
 		if n := l.level(now, d, lim); n >= best && (found == "" || n > best) {
 			best, found = n, d
@@ -55,16 +55,18 @@
 	return found, found != ""
 }
 
-// Wait returns the time until some home, own included, may have a token.
+// Wait returns the time until this home and the richest other one may have a token
+// together.
 func (l *Levels) Wait(now clock.Time, own float64, domains []string, lim Limits) time.Duration {
-	missing := max(min(1, lim.Cap/2)-own, 0)
+	most, homes := 0.0, 1.0
 	for _, d := range domains {
-		missing = min(missing, max(worth(lim)-l.level(now, d, lim), 0))
+		most, homes = max(most, l.level(now, d, lim)), 2
 	}
 	if lim.Rate <= 0 {
 		return maxWait
 	}
-	wait := time.Duration(missing / lim.Rate * float64(time.Second))
+	missing := max(1-own-most, 0)
+	wait := time.Duration(missing / (homes * lim.Rate) * float64(time.Second))
 	return min(max(wait, minWait), maxWait)
 }
 
--- a/internal/system/settingsync/follower.go
+++ b/internal/system/settingsync/follower.go
@@ -43,9 +43,16 @@
 
 	confirmed atomic.Int64
 
-	mu        sync.Mutex
-	objects   map[string][]byte
-	installed clock.Time
+	mu      sync.Mutex
+	objects map[string][]byte
+	// installs are the versions installed, from the newest fenced one on.
+	installs []installed
+}
+
+// installed is when this node installed a version.
+type installed struct {
+	version uint64
+	at      clock.Time
 }
 
 // NewFollower returns a follower that installs into current.
@@ -107,8 +114,24 @@
 func (f *Follower) Fenced(version uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := f.current.View()
-	return v != nil && v.Version >= version && f.clock.Now().Sub(f.installed) > freshFor+fenceMargin
+	now := f.clock.Now()
+	for _, x := range f.installs {
+		if x.version >= version && fenced(x, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func fenced(x installed, now clock.Time) bool { return now.Sub(x.at) > freshFor+fenceMargin }
+
+// note records an install and forgets those that a newer fenced one covers.
+func (f *Follower) note(version uint64) {
+	now := f.clock.Now()
+	f.installs = append(f.installs, installed{version, now})
+	for len(f.installs) > 1 && fenced(f.installs[1], now) {
+		f.installs = f.installs[1:]
+	}
 }
 
 // install fetches and installs a version unless one as high is in force.
@@ -123,7 +146,7 @@
 		return err
 	}
 	f.objects = objects
-	f.installed = f.clock.Now()
+	f.note(head.Version)
 	f.current.view.Store(settings.Compile(head.Version, tree))
 	f.log.Info().Uint64("version", head.Version).Msg("settings in force")
 	return nil
--- a/internal/system/shares/home.go
+++ b/internal/system/shares/home.go
@@ -158,7 +158,7 @@
 		d.m.metric.granted.Add(g.Tokens)
 	}
 	if len(grants) == 0 {
-		wait := h.levels.Wait(now, h.part.Level(), others, d.limits)
+		wait := h.levels.Wait(now, h.part.Available(now), others, d.limits)
 		reply.WaitUs = max(wait, h.pace.Next(h.asks.PerSecond(now))).Microseconds()
 	} else if !d.req.FromHome && h.part.Available(now) < h.flow.Ahead(now)/2 && h.fetching == nil {
 		go d.fetch(context.Background(), others)
@@ -205,7 +205,7 @@
 			return false
 		}
 	}
-	domain, ok := h.levels.Richest(asked, d.reachable(others), d.limits)
+	domain, ok := h.levels.Richest(asked, h.part.Available(asked), d.reachable(others), d.limits)
 	if !ok {
 		h.mu.Unlock()
 		return false
@@ -220,7 +220,18 @@
 func (d *draw) fetchFrom(ctx context.Context, domain string, asked clock.Time, want float64) {
 	h := d.home
 	source, reply := d.m.ask(ctx, domain, &peerpb.DrawRequest{Account: h.name, Want: want, FromHome: true}, fetchTimeout)
-	now := d.m.clock.Now()
+	h.fetched(d.m.clock.Now(), asked, domain, source, reply)
+	if reply == nil {
+		return
+	}
+	for _, g := range reply.Grants {
+		d.m.metric.traded.Add(g.Tokens)
+	}
+	d.m.shard(h.name).list(h)
+}
+
+// fetched ends a draw from another home; a nil reply brought nothing.
+func (h *homeAccount) fetched(now, asked clock.Time, domain string, s escrow.Source, reply *peerpb.DrawReply) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	close(h.fetching)
@@ -230,10 +241,8 @@
 	}
 	h.levels.Note(now, domain, reply.Level)
 	for _, g := range grantsFrom(reply) {
-		h.part.Held.Add(now, asked, source, g)
-		d.m.metric.traded.Add(g.Tokens)
+		h.part.Held.Add(now, asked, s, g)
 	}
-	d.m.shard(h.name).list(h)
 }
 
 // reachable returns the domains whose home is not avoided.
--- a/internal/system/shares/shard.go
+++ b/internal/system/shares/shard.go
@@ -22,6 +22,7 @@
 	entries map[string]*entry
 	homes   map[string]*homeAccount
 
+	// listMu is taken before an account's lock, never after it.
 	listMu sync.Mutex
 	// holding has those with tokens, once each.
 	holding map[settler]struct{}
--- a/internal/system/shares/shares.go
+++ b/internal/system/shares/shares.go
@@ -25,6 +25,9 @@
 const (
 	// takeTimeout bounds how long a request waits for a token.
 	takeTimeout = 450 * time.Millisecond
+	// patience is how long one request of an account waits for the homes to accrue a
+	// token; further ones are refused at once.
+	patience = 200 * time.Millisecond
 	// drawTimeout bounds one draw by an entry node, fetchTimeout one by a home.
 	drawTimeout  = 400 * time.Millisecond
 	fetchTimeout = 150 * time.Millisecond
@@ -104,11 +107,11 @@
 func (m *Manager) takeDrawn(parent context.Context, a *entry) *call.Failure {
 	ctx, cancel := context.WithTimeout(parent, takeTimeout)
 	defer cancel()
-	a.waiting.Add(1)
+	patient := a.waiting.Add(1) == 1
 	defer a.waiting.Add(-1)
 	for {
 		wait, reason := a.barred(m.clock.Now())
-		if reason == call.OverRate {
+		if reason == call.OverRate && !(patient && wait <= patience) {
 			return overRate(a.name, wait)
 		}
 		if !m.awaitDraw(ctx, a, wait) {
--- /dev/null
+++ b/internal/system/shares/shares_test.go
@@ -0,0 +1,156 @@
+package shares
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/decide/escrow"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/system/dispatch"
+	"comfreycart.dev/comfreycart/internal/system/homes"
+)
+
+const incarnation = 7
+
+// fleet is some managers whose messages are calls, one node a domain that owns all
+// slots of its domain.
+type fleet struct {
+	clock   clock.Clock
+	nodes   map[string]*Manager
+	down    map[string]bool
+	current atomic.Pointer[settings.View]
+	since   uint64
+	fenced  bool
+}
+
+func newFleet(c clock.Clock, accounts map[string]settings.Account, domains ...string) *fleet {
+	f := &fleet{clock: c, nodes: map[string]*Manager{}, down: map[string]bool{}}
+	f.install(1, accounts, domains...)
+	for _, d := range domains {
+		self := dispatch.Self{ID: d, Domain: d, Incarnation: incarnation}
+		f.nodes[d] = New(self, c, f, local{f, d}, f, f, metric.NewSet())
+	}
+	return f
+}
+
+func (f *fleet) install(version uint64, accounts map[string]settings.Account, domains ...string) {
+	tree := &settings.Tree{Teams: map[string]settings.Team{"t": {Accounts: accounts}}, Homes: settings.Homes{}}
+	for _, d := range domains {
+		tree.Homes[homes.Shares(d)] = make([]settings.Home, homes.Slots)
+	}
+	f.current.Store(settings.Compile(version, tree))
+}
+
+func (f *fleet) View() *settings.View { return f.current.Load() }
+
+func (f *fleet) Fenced(uint64) bool { return f.fenced }
+
+func (f *fleet) Draw(ctx context.Context, address string, req *peerpb.DrawRequest) (*peerpb.DrawReply, error) {
+	if f.down[address] {
+		return nil, errors.New("down")
+	}
+	return f.nodes[address].HandleDraw(ctx, req)
+}
+
+// local is the homes as one domain's node sees them.
+type local struct {
+	*fleet
+	domain string
+}
+
+func (l local) Owner(class string, _ int) (homes.Owner, bool) {
+	domain := class[len(homes.Shares("")):]
+	return homes.Owner{Home: settings.Home{Node: domain, Incarnation: incarnation}, Address: domain}, true
+}
+
+func (l local) Acting(string, int) (settings.Home, bool) {
+	return settings.Home{Node: l.domain, Since: l.since}, true
+}
+
+func take(f *fleet, node string) *call.Failure {
+	return f.nodes[node].Take(context.Background(), f.View(), "a")
+}
+
+func spendAll(f *fleet, node string) int {
+	n := 0
+	for take(f, node) == nil {
+		n++
+	}
+	return n
+}
+
+// The burst is there once, at whatever node it is asked for.
+func TestBurstIsSpentOnceInTheWholeFleet(t *testing.T) {
+	f := newFleet(&clock.Fake{}, map[string]settings.Account{"a": {Rate: 0, Burst: 30}}, "x", "y", "z")
+	require.Equal(t, 30, spendAll(f, "y"))
+	require.Equal(t, call.OverRate, take(f, "x").Reason)
+	require.Equal(t, call.NotRun, take(f, "z").Outcome)
+}
+
+// A burst smaller than the number of domains is gathered from parts of a token.
+func TestSmallBurstIsGathered(t *testing.T) {
+	f := newFleet(&clock.Fake{}, map[string]settings.Account{"a": {Rate: 0, Burst: 2}}, "v", "w", "x", "y", "z")
+	require.Equal(t, 2, spendAll(f, "x"))
+}
+
+// Without its own home a node draws from another domain's, and without any it says
+// that it cannot know.
+func TestMissingHomes(t *testing.T) {
+	f := newFleet(&clock.Fake{}, map[string]settings.Account{"a": {Rate: 0, Burst: 30}}, "x", "y")
+	f.nodes["entry"] = New(dispatch.Self{ID: "entry", Domain: "x"}, f.clock, f, local{f, "x"}, f, f, metric.NewSet())
+	f.down["x"] = true
+	require.Nil(t, take(f, "entry"))
+	f.down["y"] = true
+	f.nodes["late"] = New(dispatch.Self{ID: "late", Domain: "x"}, f.clock, f, local{f, "x"}, f, f, metric.NewSet())
+	require.Equal(t, call.SharesUnreachable, take(f, "late").Reason)
+}
+
+// A home with a predecessor hands out nothing until the predecessor's grants have
+// ended, and begins with an empty bucket.
+func TestNewOwnerBeginsEmptyAfterOldGrants(t *testing.T) {
+	c := &clock.Fake{}
+	f := newFleet(c, map[string]settings.Account{"a": {Rate: 10, Burst: 100}}, "x")
+	f.since = 5
+	m := f.nodes["x"]
+	m.Tick(context.Background(), 0)
+	c.Advance(escrow.Term + escrow.DriftMargin)
+	require.Zero(t, drawn(m, 100))
+	c.Advance(time.Second)
+	require.InDelta(t, 10.0, drawn(m, 100), 1e-6)
+}
+
+func drawn(m *Manager, want float64) float64 {
+	req := &peerpb.DrawRequest{Account: "a", Want: want, Incarnation: incarnation}
+	reply, _ := m.HandleDraw(context.Background(), req)
+	sum := 0.0
+	for _, g := range reply.Grants {
+		sum += g.Tokens
+	}
+	return sum
+}
+
+// More parts count at once; fewer only when the older number and its grants ended.
+func TestDivisor(t *testing.T) {
+	c := &clock.Fake{}
+	f := newFleet(c, nil, "x", "y")
+	d := &divisor{fence: f}
+	require.Equal(t, 2, d.of(f.View(), c.Now()))
+	f.install(2, nil, "x", "y", "z")
+	require.Equal(t, 3, d.of(f.View(), c.Now()))
+	f.install(3, nil, "x")
+	require.Equal(t, 3, d.of(f.View(), c.Now()))
+	c.Advance(time.Second)
+	f.fenced = true
+	require.Equal(t, 3, d.of(f.View(), c.Now()))
+	c.Advance(escrow.Term + escrow.DriftMargin + 1)
+	require.Equal(t, 1, d.of(f.View(), c.Now()))
+}
