--- a/test/script/rate_test.go
+++ b/test/script/rate_test.go
@@ -13,9 +13,9 @@
 
 // inRateCmd checks every window of an account's calls at backend servers:
 //
-//	inrate ACCOUNT RATE BURST DELAY NODE/SERVICE..
+//	inrate ACCOUNT RATE BURST DELAY NODE/SERVICE[/END]..
 //
-// A call may reach its backend server up to DELAY seconds, its route's deadline,
+// With END only calls whose path ends so count. A call may reach its backend server up to DELAY seconds, its route's deadline,
 // after it was admitted, so a window of w seconds may hold BURST + RATE * (w + DELAY).
 // It prints the calls and the burst of the fullest window.
 func inRateCmd(f *fleet, _ *testscript.TestScript, args []string) (string, error) {
@@ -46,12 +46,13 @@
 	var at []float64
 	for _, s := range servers {
 		node, service, _ := strings.Cut(s, "/")
+		service, end, _ := strings.Cut(service, "/")
 		entries, err := f.journal(node, service)
 		if err != nil {
 			return nil, err
 		}
 		for _, e := range entries {
-			if e.Account == account {
+			if e.Account == account && strings.HasSuffix(e.Path, end) {
 				at = append(at, float64(e.AtMs)/1000)
 			}
 		}
