--- a/internal/call/failure.go
+++ b/internal/call/failure.go
@@ -50,6 +50,7 @@
 	RepeatMismatch     Reason = "repeat-mismatch"
 	ClaimUnreachable   Reason = "claim-unreachable"
 	ClaimsFull         Reason = "claims-full"
+	SharesUnreachable  Reason = "shares-unreachable"
 	Internal           Reason = "internal"
 	// BackendError is a reason of retries only: a whole answer with a 5xx status.
 	BackendError Reason = "backend-error"
@@ -61,7 +62,7 @@
 	SettingsStale, HandleUnknown, NoEndpoint, PeerUnreachable, PeerLost, Draining,
 	QueueFull, QueueTimeout, ShedAtEntry, ShedByBackend, BackendUnreachable,
 	BackendLost, AnswerTruncated, AnswerTooLarge, DeadlinePassed, Cancelled, Fenced,
-	RepeatRunning, RepeatUnknown, RepeatMismatch, ClaimUnreachable, ClaimsFull, Internal,
+	RepeatRunning, RepeatUnknown, RepeatMismatch, ClaimUnreachable, ClaimsFull, SharesUnreachable, Internal,
 	BackendError,
 }
 
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -44,6 +44,7 @@
 		_ = s.Shutdown(ctx)
 		_ = s.Close()
 	}
+	n.Shares.Release(ctx)
 	_ = n.PeerClient.Close()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"comfreycart.dev/comfreycart/internal/system/membership"
 	"comfreycart.dev/comfreycart/internal/system/serve"
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
+	"comfreycart.dev/comfreycart/internal/system/shares"
 )
 
 const (
@@ -51,6 +52,7 @@
 	Follower   *settingsync.Follower
 	Membership *membership.Manager
 	Homes      *homes.Manager
+	Shares     *shares.Manager
 	Fences     *fence.Table
 	Server     *serve.Server
 	Claims     *claims.Manager
@@ -97,6 +99,7 @@
 	n.spawn(func() { n.Follower.Run(ctx) })
 	n.spawn(func() { n.Membership.Run(ctx) })
 	n.spawn(func() { n.Homes.Run(ctx) })
+	n.spawn(func() { n.Shares.Run(ctx) })
 	n.spawn(func() { n.expire(ctx) })
 	return nil
 }
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -35,26 +35,26 @@
 	boot := clock.Boot{}
 	store := provideStore(c)
 	follower := provideFollower(c, boot, store, current, logger, set)
-	manager := shares.New(boot)
 	self := provideSelf(c)
 	endpoints := table.NewEndpoints(boot)
 	members := table.NewMembers(boot, endpoints)
 	acceptor := provideAcceptor(c, store)
-	homesManager := homes.New(self, boot, members, current, acceptor, follower, logger)
+	manager := homes.New(self, boot, members, current, acceptor, follower, logger)
 	source := provideSource(c)
 	tlsConfig, err := providePeerTLS(c, logger)
 	if err != nil {
 		return nil, err
 	}
 	client := peer.NewClient(boot, source, tlsConfig)
-	claimsManager := claims.New(self, boot, homesManager, client, current, set)
+	sharesManager := shares.New(self, boot, current, manager, follower, client, set)
+	claimsManager := claims.New(self, boot, manager, client, current, set)
 	calls := table.NewCalls()
 	locals := table.NewLocals()
 	fenceTable := fence.New(boot)
 	server := serve.New(boot, calls, locals, fenceTable, set)
 	dispatcher := dispatch.New(self, boot, endpoints, client, server, set)
 	runner := claims.NewRunner(claimsManager, dispatcher)
-	gate := entry.New(boot, current, follower, manager, runner)
+	gate := entry.New(boot, current, follower, sharesManager, runner)
 	handler := caller.New(gate, set, logger)
 	backendHandler := provideBackend(c, boot, current, locals, server)
 	egressHandler := egress.New(boot, current, calls, runner, set, logger)
@@ -63,7 +63,7 @@
 	options := provideMembershipOptions(c, self)
 	transport := membership.NewTransport(client)
 	membershipManager := membership.New(options, boot, members, endpoints, locals, transport, store, set, logger)
-	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, follower, manager, claimsManager)
+	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, follower, sharesManager, claimsManager)
 	node := &Node{
 		Config:     c,
 		Log:        logger,
@@ -76,7 +76,8 @@
 		PeerClient: client,
 		Follower:   follower,
 		Membership: membershipManager,
-		Homes:      homesManager,
+		Homes:      manager,
+		Shares:     sharesManager,
 		Fences:     fenceTable,
 		Server:     server,
 		Claims:     claimsManager,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -116,6 +116,11 @@
 	return c.To(ctx, address).Handover(ctx, req)
 }
 
+// Draw asks the node at address for tokens and reports on earlier grants.
+func (c *Client) Draw(ctx context.Context, address string, req *peerpb.DrawRequest) (*peerpb.DrawReply, error) {
+	return c.To(ctx, address).Draw(ctx, req)
+}
+
 // sentConn is a pooled connection for one call that notes whether anything may
 // have been sent.
 type sentConn struct {
--- a/test/script/commands_test.go
+++ b/test/script/commands_test.go
@@ -50,12 +50,15 @@
 //	withdraw NODE TEAM ACCOUNT    withdraw the account's key
 //	plain NODE                    talk to the peer listener without TLS
 //	sleep SECONDS
+//	inrate ACCOUNT RATE BURST DELAY NODE/SERVICE..    check the windows of its calls, see inRateCmd
+//	refused NAME PERCENT          end traffic; at most PERCENT of it may fail
 var commands = wrap(map[string]command{
 	"fleet": fleetCmd, "addnode": addNodeCmd, "backend": backendCmd, "ready": readyCmd,
 	"start": startCmd, "killnode": killCmd, "freeze": freezeCmd, "thaw": thawCmd, "stopnode": stopCmd,
 	"cut": cutCmd, "heal": healCmd, "platform": platformCmd, "behave": behaveCmd,
 	"request": requestCmd, "traffic": trafficCmd, "endtraffic": endTrafficCmd,
 	"journal": journalCmd, "runs": runsCmd, "metric": metricCmd, "withdraw": withdrawCmd, "sleep": sleepCmd, "plain": plainCmd,
+	"inrate": inRateCmd, "refused": refusedCmd,
 })
 
 // retryable are the commands that eventually may repeat.
