Slots change hands only when their owner is known to have ended

Ruled out: a delay after the start, since a partition shows the same. Change: an owner is gone when its record says dead or left, or a newer incarnation is known; one without a record keeps its slots for 10 s. Conclusion: a partial view moves nothing.

--- a/internal/system/homes/homes.go
+++ b/internal/system/homes/homes.go
@@ -29,6 +29,9 @@
 const (
 	reconcileInterval = 100 * time.Millisecond
 	acceptTimeout     = 5 * time.Second
+	// unknownFor is how long an owner that this node has never heard of keeps its
+	// slots; a node that has just started knows few members.
+	unknownFor = 10 * time.Second
 )
 
 // Claims is the class of idempotency keys; any node may own its slots.
@@ -69,6 +72,8 @@
 	log      zerolog.Logger
 
 	settled state
+	// unknown holds the owners without a record, and since when.
+	unknown map[string]clock.Time
 }
 
 // state is what the owners follow from.
@@ -120,7 +125,7 @@
 
 // Alone reports whether no other node could own slots.
 func (m *Manager) Alone() bool {
-	alive := m.alive()
+	alive := newRoster(m.members.All()).eligible(Claims)
 	delete(alive, m.self.ID)
 	return len(alive) == 0
 }
@@ -166,87 +171,45 @@
 
 // reconcile reports whether there was nothing to do.
 func (m *Manager) reconcile(ctx context.Context, v *settings.View) bool {
-	alive := m.alive()
-	done := true
-	for _, class := range classes(alive) {
-		fit := eligible(class, alive)
-		if choose(class, fit) != m.self.ID || !orphaned(v.Tree.Homes[class], fit) {
+	r := newRoster(m.members.All())
+	done := m.noteUnknown(v.Tree.Homes, r)
+	for _, class := range r.classes() {
+		if choose(class, r.eligible(class)) != m.self.ID || !r.orphaned(v.Tree.Homes[class]) {
 			continue
 		}
 		done = false
-		m.propose(ctx, class, fit)
+		m.propose(ctx, class, r)
 	}
 	return done
 }
 
-// alive returns the members that may own slots, by ID.
-func (m *Manager) alive() map[string]table.Member {
-	out := map[string]table.Member{}
-	for _, x := range m.members.All() {
-		if x.State == table.Alive || x.State == table.Suspect {
-			out[x.ID] = x
+// noteUnknown tells the roster which owners have been unknown for long, and reports
+// whether all owners are known.
+func (m *Manager) noteUnknown(h settings.Homes, r *roster) bool {
+	now := m.clock.Now()
+	unknown := map[string]clock.Time{}
+	for _, id := range r.unknownOwners(h) {
+		since, noted := m.unknown[id]
+		if !noted {
+			since = now
 		}
-	}
-	return out
-}
-
-func classes(alive map[string]table.Member) []string {
-	out := []string{Claims}
-	for _, x := range alive {
-		if c := Shares(x.Domain); !slices.Contains(out, c) {
-			out = append(out, c)
+		unknown[id] = since
+		if now.Sub(since) > unknownFor {
+			r.forgotten[id] = true
 		}
 	}
-	return out
-}
-
-// eligible returns the members that may own slots of a class.
-func eligible(class string, alive map[string]table.Member) map[string]table.Member {
-	domain, bound := strings.CutPrefix(class, sharesPrefix)
-	if !bound {
-		return alive
-	}
-	out := map[string]table.Member{}
-	for id, x := range alive {
-		if x.Domain == domain {
-			out[id] = x
-		}
-	}
-	return out
-}
-
-// choose returns the member with the highest rendezvous hash for key.
-func choose(key string, fit map[string]table.Member) string {
-	best, id := uint64(0), ""
-	for candidate := range fit {
-		h := xxhash.Sum64String(key + "\x00" + candidate)
-		if id == "" || h > best || h == best && candidate < id {
-			best, id = h, candidate
-		}
-	}
-	return id
-}
-
-func orphaned(homes []settings.Home, fit map[string]table.Member) bool {
-	if len(homes) != Slots {
-		return true
-	}
-	return slices.ContainsFunc(homes, func(h settings.Home) bool { return gone(h, fit) })
-}
-
-func gone(h settings.Home, fit map[string]table.Member) bool {
-	x, ok := fit[h.Node]
-	return !ok || x.Incarnation != h.Incarnation
+	m.unknown = unknown
+	return len(unknown) == 0
 }
 
 // propose gives the orphaned slots of a class to their rendezvous owners.
-func (m *Manager) propose(ctx context.Context, class string, fit map[string]table.Member) {
+func (m *Manager) propose(ctx context.Context, class string, r *roster) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	version, err := m.acceptor.Accept(ctx, settingsync.Change{
 		ID: uuid.NewString(),
 		Apply: func(t *settings.Tree, version uint64) error {
-			assign(t, class, version, fit)
+			assign(t, class, version, r)
 			return nil
 		},
 	})
@@ -257,7 +220,7 @@
 	m.log.Info().Str("class", class).Uint64("version", version).Msg("slots assigned")
 }
 
-func assign(t *settings.Tree, class string, version uint64, fit map[string]table.Member) {
+func assign(t *settings.Tree, class string, version uint64, r *roster) {
 	if t.Homes == nil {
 		t.Homes = settings.Homes{}
 	}
@@ -267,9 +230,10 @@
 		homes = make([]settings.Home, Slots)
 	}
 	for slot, h := range homes {
-		if !gone(h, fit) {
+		if !r.gone(h) {
 			continue
 		}
+		fit := r.eligible(class)
 		id := choose(class+"/"+string(rune('a'+slot)), fit)
 		homes[slot] = settings.Home{Node: id, Incarnation: fit[id].Incarnation, Since: version, First: first, Before: h.Since}
 	}
