Settings spread from node to node and stay fresh through platform outages

Cause: each node read the head row every 500 ms, which 5,500 nodes cannot do, and refused keyed routes 4 s after the platform was gone. A change was accepted without any other node knowing of it.

Ruled out: rounds as bitsets that spread by gossip. At 5,500 members they take longer than 4 s to fill with one pull a tick, and cost 2 KB a message.

Change: nodes poll in proportion to their failure domain, tell others of new versions, and pull from random members. Freshness is a stamp with an age, from the head row or from a round in which a majority confirms; rounds are gathered by ranges of members, so that they carry counts only. An accepted change was moved by a node that reached a majority, and is held by a majority.

Before: over the previous code the scenarios withdraw-cut (settings-stale at a node cut off from the platform), withdraw-outage (the same), settings-outage (312 of 500 requests refused) and settings-majority (accepted without a majority) failed; settings-race fails without the condition on the head row (3 of 3 accepted). withdraw and settings-spread also passed before. After: all pass.

--- a/cmd/comfreycart/status.go
+++ b/cmd/comfreycart/status.go
@@ -6,6 +6,7 @@
 	"os"
 	"text/tabwriter"
 
+	"comfreycart.dev/comfreycart/internal/api/admin"
 	"comfreycart.dev/comfreycart/internal/operator"
 )
 
@@ -21,11 +22,12 @@
 	if err != nil || c.JSON {
 		return printOr(s, err)
 	}
-	fmt.Printf("node %s: settings version %d, confirmed %d ms ago\n\n", s.Node, s.SettingsVersion, s.StalenessMs)
+	fmt.Printf("node %s: settings version %d, confirmed %d ms ago; highest known %d, settled %d\n\n",
+		s.Node, s.SettingsVersion, s.StalenessMs, s.KnownVersion, s.SettledVersion)
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "MEMBER\tDOMAIN\tADDRESS\tSTATE\tENDPOINTS")
+	fmt.Fprintln(w, "MEMBER\tDOMAIN\tADDRESS\tSTATE\tVERSION\tENDPOINTS")
 	for _, m := range s.Members {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t", m.ID, m.Domain, m.Address, m.State)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t", m.ID, m.Domain, m.Address, m.State, version(m))
 		for _, e := range m.Endpoints {
 			fmt.Fprintf(w, "%s:%d:%s ", e.Service, e.Slots, e.State)
 		}
@@ -33,3 +35,15 @@
 	}
 	return w.Flush()
 }
+
+// version tells a member's settings version, and how old that news is.
+func version(m admin.Member) string {
+	if m.SettingsVersion == 0 {
+		return "not heard"
+	}
+	text := fmt.Sprintf("%d (%d ms ago)", m.SettingsVersion, m.HeardMs)
+	if m.Lags {
+		text += " lags"
+	}
+	return text
+}
--- a/internal/api/admin/admin.go
+++ b/internal/api/admin/admin.go
@@ -26,16 +26,21 @@
 	reasonInvalid     call.Reason = "invalid-settings"
 	reasonChanged     call.Reason = "changed"
 	reasonUnsettled   call.Reason = "unsettled"
+	reasonNoMajority  call.Reason = "no-majority"
 	reasonNotFound    call.Reason = "not-found"
 	reasonUnavailable call.Reason = "platform-unavailable"
 )
 
 // Status is the answer of GET /admin/v1/status.
 type Status struct {
-	Node            string   `json:"node"`
-	SettingsVersion uint64   `json:"settingsVersion"`
-	StalenessMs     int64    `json:"stalenessMs"`
-	Members         []Member `json:"members"`
+	Node            string `json:"node"`
+	SettingsVersion uint64 `json:"settingsVersion"`
+	// KnownVersion is the highest version that the node heard of.
+	KnownVersion uint64 `json:"knownVersion"`
+	// SettledVersion is the highest version known to be held by a majority.
+	SettledVersion uint64   `json:"settledVersion"`
+	StalenessMs    int64    `json:"stalenessMs"`
+	Members        []Member `json:"members"`
 }
 
 // Member is a node as the asked node sees it.
@@ -45,6 +50,13 @@
 	Address   string     `json:"address"`
 	State     string     `json:"state"`
 	Endpoints []Endpoint `json:"endpoints"`
+	// SettingsVersion is what the member last said to have in force; 0 means that
+	// it was not heard yet.
+	SettingsVersion uint64 `json:"settingsVersion"`
+	// HeardMs is how long ago it said so, in milliseconds.
+	HeardMs int64 `json:"heardMs"`
+	// Lags is set if that version is below the highest known one.
+	Lags bool `json:"lags"`
 }
 
 // Endpoint is a backend server as its node tells about it.
@@ -267,6 +279,8 @@
 		d.Status, d.Reason = http.StatusNotFound, reasonNotFound
 	case errors.Is(err, settingsync.ErrChanged):
 		d.Status, d.Reason = http.StatusPreconditionFailed, reasonChanged
+	case errors.Is(err, settingsync.ErrNoMajority):
+		d.Reason = reasonNoMajority
 	case errors.Is(err, settingsync.ErrUnsettled):
 		d.Status, d.Reason = http.StatusGatewayTimeout, reasonUnsettled
 	}
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -34,8 +34,12 @@
 	return platform.NewClient(c.Platform.URL, c.PlatformTimeout())
 }
 
-func provideFollower(c *config.Node, clk clock.Clock, s platform.Store, cur *settingsync.Current, log zerolog.Logger, m *metric.Set) *settingsync.Follower {
-	f := settingsync.NewFollower(c.Deployment, clk, s, cur, log)
+func provideFollowerOptions(c *config.Node) settingsync.Options {
+	return settingsync.Options{ID: c.ID, Domain: c.Domain, Address: c.PeerAddress(), Deployment: c.Deployment}
+}
+
+func provideFollower(o settingsync.Options, clk clock.Clock, s platform.Store, cur *settingsync.Current, members *table.Members, p *peer.Client, log zerolog.Logger, m *metric.Set) *settingsync.Follower {
+	f := settingsync.NewFollower(o, clk, s, cur, members, p, log)
 	m.Gauge("comfreycart_settings_staleness_seconds", func() float64 { return f.Staleness().Seconds() })
 	m.Gauge("comfreycart_settings_version", func() float64 {
 		if v := cur.View(); v != nil {
@@ -46,8 +50,8 @@
 	return f
 }
 
-func provideAcceptor(c *config.Node, s platform.Store) *settingsync.Acceptor {
-	return settingsync.NewAcceptor(c.Deployment, s)
+func provideAcceptor(c *config.Node, clk clock.Clock, s platform.Store, f *settingsync.Follower) *settingsync.Acceptor {
+	return settingsync.NewAcceptor(c.Deployment, clk, s, f)
 }
 
 func provideMembershipOptions(c *config.Node, self dispatch.Self) membership.Options {
@@ -77,6 +81,7 @@
 // Status implements admin.StatusSource.
 func (s *status) Status(context.Context) admin.Status {
 	out := admin.Status{Node: s.self.ID, StalenessMs: s.follower.Staleness().Milliseconds()}
+	out.KnownVersion, out.SettledVersion = s.follower.Known()
 	if v := s.current.View(); v != nil {
 		out.SettingsVersion = v.Version
 	}
@@ -85,7 +90,18 @@
 		for _, e := range m.Endpoints {
 			row.Endpoints = append(row.Endpoints, admin.Endpoint{Service: e.Service, Slots: e.Slots, State: string(e.State)})
 		}
+		s.tellVersion(&row, out.KnownVersion)
 		out.Members = append(out.Members, row)
 	}
 	return out
 }
+
+// tellVersion adds the version that a member was last heard to have in force.
+func (s *status) tellVersion(row *admin.Member, known uint64) {
+	version, age, ok := s.follower.Heard(row.ID)
+	if !ok {
+		return
+	}
+	row.SettingsVersion, row.HeardMs = version, age.Milliseconds()
+	row.Lags = version < known
+}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -29,7 +29,7 @@
 	wire.Build(
 		wire.Struct(new(Node), "Config", "Log", "Metric", "Caller", "Backend", "Egress", "Admin",
 			"PeerServer", "PeerClient", "Follower", "Membership", "Homes", "Fences", "Server"),
-		provideLog, provideSelf, provideSource, provideStore, provideFollower, provideAcceptor, provideMembershipOptions,
+		provideLog, provideSelf, provideSource, provideStore, provideFollowerOptions, provideFollower, provideAcceptor, provideMembershipOptions,
 		provideBackend, provideAdmin, provideStatus,
 		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
 		wire.Struct(new(settingsync.Current)),
@@ -47,7 +47,7 @@
 		wire.Bind(new(dispatch.Peers), new(*peer.Client)),
 		wire.Bind(new(dispatch.Local), new(*serve.Server)),
 		wire.Bind(new(peer.Syncer), new(*membership.Manager)),
-		wire.Bind(new(peer.ObjectSource), new(*settingsync.Follower)),
+		wire.Bind(new(peer.SettingsSource), new(*settingsync.Follower)),
 		wire.Bind(new(peer.ShareHome), new(*shares.Manager)),
 		wire.Bind(new(peer.ClaimHome), new(*claims.Manager)),
 	)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,9 +23,12 @@
 	HandleProbe(ctx context.Context, req *peerpb.ProbeRequest) (*peerpb.ProbeReply, error)
 }
 
-// ObjectSource has settings objects for other nodes.
-type ObjectSource interface {
+// SettingsSource has settings for other nodes, and takes them from others.
+type SettingsSource interface {
 	HandleObjects(ctx context.Context, req *peerpb.ObjectsRequest) (*peerpb.ObjectsReply, error)
+	HandleConfirm(ctx context.Context, req *peerpb.ConfirmRequest) (*peerpb.ConfirmReply, error)
+	HandleGather(ctx context.Context, req *peerpb.GatherRequest) (*peerpb.GatherReply, error)
+	HandleNotice(ctx context.Context, req *peerpb.NoticeRequest) (*peerpb.NoticeReply, error)
 }
 
 // ShareHome hands out tokens of the accounts whose home this node is.
@@ -41,23 +44,23 @@
 
 // Server answers other nodes.
 type Server struct {
-	self    dispatch.Self
-	clock   clock.Clock
-	log     zerolog.Logger
-	local   dispatch.Local
-	fences  *fence.Table
-	syncer  Syncer
-	objects ObjectSource
-	shares  ShareHome
-	claims  ClaimHome
+	self     dispatch.Self
+	clock    clock.Clock
+	log      zerolog.Logger
+	local    dispatch.Local
+	fences   *fence.Table
+	syncer   Syncer
+	settings SettingsSource
+	shares   ShareHome
+	claims   ClaimHome
 }
 
 // NewServer returns a server that hands each message to the system it is for.
 func NewServer(self dispatch.Self, c clock.Clock, log zerolog.Logger, local dispatch.Local, fences *fence.Table,
-	syncer Syncer, objects ObjectSource, shares ShareHome, claims ClaimHome) *Server {
+	syncer Syncer, settings SettingsSource, shares ShareHome, claims ClaimHome) *Server {
 	return &Server{
 		self: self, clock: c, log: log, local: local, fences: fences,
-		syncer: syncer, objects: objects, shares: shares, claims: claims,
+		syncer: syncer, settings: settings, shares: shares, claims: claims,
 	}
 }
 
@@ -108,7 +111,22 @@
 
 // Objects implements the Peer service.
 func (s *Server) Objects(ctx context.Context, req *peerpb.ObjectsRequest) (*peerpb.ObjectsReply, error) {
-	return s.objects.HandleObjects(ctx, req)
+	return s.settings.HandleObjects(ctx, req)
+}
+
+// Confirm implements the Peer service.
+func (s *Server) Confirm(ctx context.Context, req *peerpb.ConfirmRequest) (*peerpb.ConfirmReply, error) {
+	return s.settings.HandleConfirm(ctx, req)
+}
+
+// Gather implements the Peer service.
+func (s *Server) Gather(ctx context.Context, req *peerpb.GatherRequest) (*peerpb.GatherReply, error) {
+	return s.settings.HandleGather(ctx, req)
+}
+
+// Notice implements the Peer service.
+func (s *Server) Notice(ctx context.Context, req *peerpb.NoticeRequest) (*peerpb.NoticeReply, error) {
+	return s.settings.HandleNotice(ctx, req)
 }
 
 // Draw implements the Peer service.
--- a/internal/system/settingsync/accept.go
+++ b/internal/system/settingsync/accept.go
@@ -2,17 +2,19 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
+	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/platform"
 	"comfreycart.dev/comfreycart/internal/settings"
 )
 
 const (
-	acceptTries = 8
+	acceptTries = 16
+	// acceptPause is the least pause between two tries, and half the greatest.
 	acceptPause = 50 * time.Millisecond
 )
 
@@ -20,9 +22,11 @@
 var (
 	// ErrChanged: the subtree is no longer what the operator saw; nothing was changed.
 	ErrChanged = errors.New("settings were changed by someone else")
-	// ErrUnsettled: the platform did not say whether the change took effect.
+	// ErrUnsettled: the change may be or is made, but is not known to be in force.
 	// Resubmitting under the same change ID settles it.
-	ErrUnsettled = errors.New("the platform did not confirm the change; submit it again under the same Change-Id")
+	ErrUnsettled = errors.New("the change is not confirmed; submit it again under the same Change-Id")
+	// ErrNoMajority: the node reaches no majority of the members; nothing was changed.
+	ErrNoMajority = errors.New("the node reaches no majority of the members; nothing was changed")
 )
 
 // Change is one operator's change.
@@ -34,128 +38,107 @@
 	Apply func(t *settings.Tree, version uint64) error
 }
 
-// accepted is the content of a change's row.
-type accepted struct {
-	Version uint64 `json:"version"`
+// Fleet is what an Acceptor needs of its node's Follower and of the other nodes.
+type Fleet interface {
+	// Objects returns the objects of the version in force, which are not to be changed.
+	Objects() map[string][]byte
+	// Reach returns an error unless this node reaches a majority of the members.
+	Reach(ctx context.Context) error
+	// Hold puts a version that was just made the head in force at this node.
+	Hold(head Head, tree *settings.Tree, objects map[string][]byte, asked clock.Time)
+	// Settle returns once a majority of the members holds a version.
+	Settle(ctx context.Context, version uint64) error
 }
 
 // Acceptor moves the head row. It is safe for concurrent use.
 type Acceptor struct {
 	deployment string
+	clock      clock.Clock
 	store      platform.Store
+	fleet      Fleet
 }
 
 // NewAcceptor returns an acceptor for a deployment.
-func NewAcceptor(deployment string, store platform.Store) *Acceptor {
-	return &Acceptor{deployment: deployment, store: store}
+func NewAcceptor(deployment string, c clock.Clock, store platform.Store, fleet Fleet) *Acceptor {
+	return &Acceptor{deployment: deployment, clock: c, store: store, fleet: fleet}
 }
 
 // Read returns the tree in force at the platform and its version; version 0 is the
 // empty tree.
 func (a *Acceptor) Read(ctx context.Context) (*settings.Tree, uint64, error) {
-	tree, head, _, err := a.read(ctx)
-	return tree, head.Version, err
+	base, err := a.read(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	return base.tree, base.head.Version, nil
+}
+
+// base is what a change builds on.
+type base struct {
+	head Head
+	// row is the version of the head row.
+	row     uint64
+	tree    *settings.Tree
+	objects map[string][]byte
 }
 
-func (a *Acceptor) read(ctx context.Context) (*settings.Tree, Head, uint64, error) {
+func (a *Acceptor) read(ctx context.Context) (*base, error) {
 	head, row, err := readHead(ctx, a.store, a.deployment)
 	if platform.IsKind(err, platform.NotFound) {
 		empty := &settings.Tree{Deployment: settings.Deployment{Name: a.deployment}, Teams: map[string]settings.Team{}}
-		return empty, Head{}, 0, nil
+		return &base{tree: empty}, nil
 	}
 	if err != nil {
-		return nil, Head{}, 0, err
+		return nil, err
 	}
-	tree, _, err := load(ctx, a.store, head, nil)
-	return tree, head, row, err
+	tree, objects, err := load(ctx, a.store, head, a.fleet.Objects())
+	return &base{head, row, tree, objects}, err
 }
 
-// Accept applies a change once and returns the version that holds it.
+// Accept applies a change once and returns the version that holds it, when a
+// majority of the members holds that version.
 func (a *Acceptor) Accept(ctx context.Context, c Change) (uint64, error) {
+	if err := a.fleet.Reach(ctx); err != nil {
+		return 0, ErrNoMajority
+	}
+	version, err := a.commit(ctx, c)
+	if err != nil {
+		return 0, err
+	}
+	if err := a.fleet.Settle(ctx, version); err != nil {
+		return 0, fmt.Errorf("version %d: %v: %w", version, err, ErrUnsettled)
+	}
+	return version, nil
+}
+
+// commit moves the head, once.
+func (a *Acceptor) commit(ctx context.Context, c Change) (uint64, error) {
+	sent := false
+	var last error
 	for range acceptTries {
-		version, err := a.try(ctx, c)
+		m := &move{acceptor: a, change: c}
+		version, err := m.try(ctx)
 		if err == nil {
 			return version, nil
 		}
+		sent = sent || m.sent && !platform.IsKind(err, platform.Conflict)
+		last = err
 		if !platform.IsKind(err, platform.Conflict) && !platform.IsKind(err, platform.Unavailable) {
 			return 0, err
 		}
 		select {
 		case <-ctx.Done():
-			return 0, fmt.Errorf("%w: %v", ErrUnsettled, err)
-		case <-time.After(acceptPause):
+			return 0, unconfirmed(sent, last)
+		case <-time.After(acceptPause + rand.N(acceptPause)):
 		}
 	}
-	return 0, ErrUnsettled
+	return 0, unconfirmed(sent, last)
 }
 
-// try makes one attempt. Repeating it is safe, since the change's row must not exist.
-func (a *Acceptor) try(ctx context.Context, c Change) (uint64, error) {
-	if done, err := a.settled(ctx, c.ID); err != nil || done != 0 {
-		return done, err
+// unconfirmed says whether the change may have been made.
+func unconfirmed(sent bool, err error) error {
+	if sent || platform.IsKind(err, platform.Conflict) {
+		return fmt.Errorf("%w: %v", ErrUnsettled, err)
 	}
-	tree, head, row, err := a.read(ctx)
-	if err != nil {
-		return 0, err
-	}
-	if err := c.Apply(tree, head.Version+1); err != nil {
-		return 0, err
-	}
-	if err := tree.Validate(); err != nil {
-		return 0, err
-	}
-	next, err := a.put(ctx, tree, head.Version+1)
-	if err != nil {
-		return 0, err
-	}
-	return next.Version, a.move(ctx, c.ID, next, row)
+	return err
 }
-
-// settled returns the version that holds the change, 0 if none does.
-func (a *Acceptor) settled(ctx context.Context, id string) (uint64, error) {
-	row, err := a.store.Get(ctx, a.changeKey(id))
-	if platform.IsKind(err, platform.NotFound) {
-		return 0, nil
-	}
-	if err != nil {
-		return 0, err
-	}
-	var done accepted
-	err = json.Unmarshal(row.Value, &done)
-	return done.Version, err
-}
-
-func (a *Acceptor) put(ctx context.Context, tree *settings.Tree, version uint64) (Head, error) {
-	m, objects, err := split(tree)
-	if err != nil {
-		return Head{}, err
-	}
-	raw, err := json.Marshal(m)
-	if err != nil {
-		return Head{}, err
-	}
-	objects[Digest(raw)] = raw
-	for d, data := range objects {
-		if err := a.store.PutObject(ctx, d, data); err != nil {
-			return Head{}, err
-		}
-	}
-	return Head{Version: version, Manifest: Digest(raw)}, nil
-}
-
-func (a *Acceptor) move(ctx context.Context, id string, next Head, row uint64) error {
-	head, err := json.Marshal(next)
-	if err != nil {
-		return err
-	}
-	done, err := json.Marshal(accepted{next.Version})
-	if err != nil {
-		return err
-	}
-	return a.store.Transact(ctx, platform.Tx{
-		Conditions: []platform.Condition{{Key: headKey(a.deployment), Version: row}, {Key: a.changeKey(id), Version: 0}},
-		Writes:     []platform.Write{{Key: headKey(a.deployment), Value: head}, {Key: a.changeKey(id), Value: done}},
-	})
-}
-
-func (a *Acceptor) changeKey(id string) string { return "change/" + a.deployment + "/" + id }
--- a/internal/system/settingsync/follower.go
+++ b/internal/system/settingsync/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,19 +12,15 @@
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/decide/evidence"
 	"comfreycart.dev/comfreycart/internal/peer/peerpb"
 	"comfreycart.dev/comfreycart/internal/platform"
 	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/table"
 )
 
-const (
-	pollInterval = 500 * time.Millisecond
-	// freshFor is how long a node serves keyed routes after its last evidence that
-	// it has the version in force.
-	freshFor = 4 * time.Second
-	// fenceMargin covers the drift of another VM's clock over freshFor.
-	fenceMargin = 200 * time.Millisecond
-)
+// pollTimeout bounds one reading of the head row and the objects it names.
+const pollTimeout = 5 * time.Second
 
 // Current is the version that this node has in force. It is safe for concurrent use.
 type Current struct {
@@ -33,65 +30,121 @@
 // View returns the settings in force, nil before the first version.
 func (c *Current) View() *settings.View { return c.view.Load() }
 
-// Follower reads the head row and installs what it names.
-type Follower struct {
-	deployment string
-	clock      clock.Clock
-	store      platform.Store
-	current    *Current
-	log        zerolog.Logger
+// Peers reaches other nodes by their address.
+type Peers interface {
+	To(ctx context.Context, address string) peerpb.DRPCPeerClient
+}
+
+// Options are what a Follower needs to know of its own node.
+type Options struct {
+	ID         string
+	Domain     string
+	Address    string
+	Deployment string
+}
+
+// Heard is what another node last said of its settings.
+type Heard struct {
+	Version uint64
+	At      clock.Time
+}
 
-	confirmed atomic.Int64
+// Follower keeps the node at the version in force, from the platform and from
+// other nodes, and knows how fresh that is. It is safe for concurrent use.
+type Follower struct {
+	Options
+	clock   clock.Clock
+	store   platform.Store
+	current *Current
+	fleet   fleetCache
+	peers   Peers
+	log     zerolog.Logger
 
-	mu        sync.Mutex
-	objects   map[string][]byte
-	installed clock.Time
+	mu       sync.Mutex
+	state    *evidence.State
+	head     Head
+	objects  map[string][]byte
+	fetching uint64
+	heard    map[string]Heard
 }
 
 // NewFollower returns a follower that installs into current.
-func NewFollower(deployment string, c clock.Clock, store platform.Store, current *Current, log zerolog.Logger) *Follower {
+func NewFollower(o Options, c clock.Clock, store platform.Store, current *Current, members *table.Members, peers Peers, log zerolog.Logger) *Follower {
 	return &Follower{
-		deployment: deployment, clock: c, store: store, current: current, log: log,
+		Options: o, clock: c, store: store, current: current, peers: peers, log: log,
+		fleet:   fleetCache{self: o.ID, domain: o.Domain, members: members},
+		state:   evidence.New(c.Now()),
 		objects: map[string][]byte{},
+		heard:   map[string]Heard{},
 	}
 }
 
-// Run polls until ctx ends.
+// Run polls the platform and exchanges with other nodes until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	tick := time.NewTicker(pollInterval)
-	defer tick.Stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { f.pollLoop(ctx) })
+	wg.Go(func() { f.exchangeLoop(ctx) })
+	wg.Wait()
+}
+
+func (f *Follower) pollLoop(ctx context.Context) {
 	for {
-		if err := f.Poll(ctx); err != nil && !platform.IsKind(err, platform.NotFound) {
+		if err := f.Poll(ctx); err != nil {
 			f.log.Warn().Err(err).Msg("settings not read")
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-time.After(jitter(evidence.PollInterval(f.fleet.get().domain))):
 		}
 	}
 }
 
+// jitter spreads a pause over half to one and a half of its mean.
+func jitter(mean time.Duration) time.Duration {
+	return mean/2 + rand.N(mean)
+}
+
 // Poll reads the head row once and installs a newer version.
 func (f *Follower) Poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
 	asked := f.clock.Now()
-	head, _, err := readHead(ctx, f.store, f.deployment)
+	head, _, err := readHead(ctx, f.store, f.Deployment)
+	if platform.IsKind(err, platform.NotFound) {
+		f.noteEmpty(asked)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
-	if err := f.install(ctx, head); err != nil {
+	if err := f.install(ctx, head, f.store); err != nil {
 		return err
 	}
-	f.confirmed.Store(int64(asked))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Adopt(evidence.Platform, evidence.Stamp{Version: head.Version, At: asked})
 	return nil
 }
 
-// Fresh returns a failure while the node cannot know whether its settings are in force.
+// noteEmpty takes a missing head row as version 0, unless a version is in force.
+func (f *Follower) noteEmpty(asked clock.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state.Known() == 0 {
+		f.state.Adopt(evidence.Platform, evidence.Stamp{At: asked})
+	}
+}
+
+// Fresh returns a failure while the node cannot know whether its settings are in
+// force. Ask right before acting.
 func (f *Follower) Fresh() *call.Failure {
 	if f.current.View() == nil {
 		return call.Refuse(call.SettingsMissing, "the node has no settings yet").After(time.Second)
 	}
-	if f.Staleness() > freshFor {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.state.Fresh(f.clock.Now()) {
 		return call.Refuse(call.SettingsStale, "the node cannot confirm its settings").After(time.Second)
 	}
 	return nil
@@ -99,7 +152,9 @@
 
 // Staleness is the age of the last evidence that the settings are in force.
 func (f *Follower) Staleness() time.Duration {
-	return f.clock.Now().Sub(clock.Time(f.confirmed.Load()))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Age(f.clock.Now())
 }
 
 // Fenced reports whether every node that does not know the version has surely
@@ -107,39 +162,73 @@
 func (f *Follower) Fenced(version uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := f.current.View()
-	return v != nil && v.Version >= version && f.clock.Now().Sub(f.installed) > freshFor+fenceMargin
+	return f.state.Installed() >= version && f.state.Fenced(version, f.clock.Now())
+}
+
+// Known is the highest version that this node heard of, and the highest that it
+// knows to be settled.
+func (f *Follower) Known() (known, settled uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Known(), f.state.Settled()
 }
 
-// install fetches and installs a version unless one as high is in force.
-func (f *Follower) install(ctx context.Context, head Head) error {
+// Heard returns what a member last said of its settings, and how long ago.
+func (f *Follower) Heard(id string) (version uint64, age time.Duration, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v := f.current.View(); v != nil && v.Version >= head.Version {
+	if id == f.ID {
+		return f.state.Installed(), 0, true
+	}
+	h, ok := f.heard[id]
+	return h.Version, f.clock.Now().Sub(h.At), ok
+}
+
+// install fetches a version from a source and puts it in force, unless one as high is.
+func (f *Follower) install(ctx context.Context, head Head, from objectGetter) error {
+	f.mu.Lock()
+	f.state.Learn(head.Version)
+	have, installed := f.objects, f.state.Installed()
+	f.mu.Unlock()
+	if installed >= head.Version {
 		return nil
 	}
-	tree, objects, err := load(ctx, f.store, head, f.objects)
+	tree, objects, err := load(ctx, from, head, have)
 	if err != nil {
 		return err
 	}
-	f.objects = objects
-	f.installed = f.clock.Now()
-	f.current.view.Store(settings.Compile(head.Version, tree))
-	f.log.Info().Uint64("version", head.Version).Msg("settings in force")
+	f.enforce(head, tree, objects)
 	return nil
 }
 
-// HandleObjects serves settings objects to other nodes.
-func (f *Follower) HandleObjects(_ context.Context, req *peerpb.ObjectsRequest) (*peerpb.ObjectsReply, error) {
+// enforce puts a version in force and tells others, unless one as high is in force.
+func (f *Follower) enforce(head Head, tree *settings.Tree, objects map[string][]byte) {
+	view := settings.Compile(head.Version, tree)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := &peerpb.ObjectsReply{}
-	for _, d := range req.Digests {
-		if data, ok := f.objects[d]; ok {
-			reply.Objects = append(reply.Objects, &peerpb.Object{Digest: d, Data: data})
-		}
+	if !f.state.Install(head.Version) {
+		return
 	}
-	return reply, nil
+	f.head, f.objects = head, objects
+	f.current.view.Store(view)
+	f.log.Info().Uint64("version", head.Version).Msg("settings in force")
+	go f.notify(f.fleet.get().sample(pushFanout), head.Version)
+}
+
+// Objects returns the objects of the version in force, which are not to be changed.
+func (f *Follower) Objects() map[string][]byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.objects
+}
+
+// Hold puts a version that this node has just made the head in force. The
+// transaction was sent at asked.
+func (f *Follower) Hold(head Head, tree *settings.Tree, objects map[string][]byte, asked clock.Time) {
+	f.enforce(head, tree, objects)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Adopt(evidence.Platform, evidence.Stamp{Version: head.Version, At: asked})
 }
 
 func headKey(deployment string) string { return "head/" + deployment }
@@ -157,9 +246,14 @@
 	return h, row.Version, nil
 }
 
+// objectGetter has settings objects: the platform, or another node.
+type objectGetter interface {
+	GetObject(ctx context.Context, name string) ([]byte, error)
+}
+
 // load fetches the tree of a version, taking known objects from have.
-func load(ctx context.Context, store platform.Objects, head Head, have map[string][]byte) (*settings.Tree, map[string][]byte, error) {
-	raw, err := fetch(ctx, store, head.Manifest, have)
+func load(ctx context.Context, from objectGetter, head Head, have map[string][]byte) (*settings.Tree, map[string][]byte, error) {
+	raw, err := fetch(ctx, from, head.Manifest, have)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -169,7 +263,7 @@
 	}
 	objects := map[string][]byte{head.Manifest: raw}
 	for _, d := range m.Digests() {
-		if objects[d], err = fetch(ctx, store, d, have); err != nil {
+		if objects[d], err = fetch(ctx, from, d, have); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -177,11 +271,11 @@
 	return tree, objects, err
 }
 
-func fetch(ctx context.Context, store platform.Objects, digest string, have map[string][]byte) ([]byte, error) {
+func fetch(ctx context.Context, from objectGetter, digest string, have map[string][]byte) ([]byte, error) {
 	if data, ok := have[digest]; ok {
 		return data, nil
 	}
-	data, err := store.GetObject(ctx, digest)
+	data, err := from.GetObject(ctx, digest)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/system/settingsync/majority.go
@@ -0,0 +1,201 @@
+package settingsync
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"comfreycart.dev/comfreycart/internal/decide/evidence"
+	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+const (
+	// confirmTimeout bounds the asking of one member, which may pull first.
+	confirmTimeout = 500 * time.Millisecond
+	// gatherTimeout bounds the asking of one range of members.
+	gatherTimeout = 800 * time.Millisecond
+	// roundTimeout bounds a round; it is below evidence.FreshFor.
+	roundTimeout = 2 * time.Second
+	// reachTimeout and settleTimeout bound an accepting node's rounds, repeats included.
+	reachTimeout  = 3 * time.Second
+	settleTimeout = 5 * time.Second
+	roundPause    = 50 * time.Millisecond
+)
+
+// errNoMajority: no majority of the members confirmed a version in time.
+var errNoMajority = errors.New("no majority of the members answered")
+
+// tally is what asking one range of members gave.
+type tally struct{ members, confirmed int }
+
+// round asks all members to confirm the version in force, and reports whether a
+// majority did. It returns as soon as that is clear.
+func (f *Follower) round(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), roundTimeout)
+	context.AfterFunc(ctx, cancel)
+	snapshot, version, started := f.fleet.get(), f.installed(), f.clock.Now()
+	tallies, asked := f.ask(ctx, version, snapshot)
+	r := evidence.NewRound(version, started, len(snapshot.members))
+	for t := range tallies {
+		r.Add(t.members, t.confirmed)
+		if stamp, ok := r.Complete(f.clock.Now()); ok {
+			f.conclude(stamp)
+			go f.notify(asked, version)
+			return true
+		}
+	}
+	return false
+}
+
+// ask asks all members, directly or by ranges, and returns the addresses to tell
+// of the result.
+func (f *Follower) ask(ctx context.Context, version uint64, s *fleet) (<-chan tally, []string) {
+	ranges := evidence.Ranges(len(s.members))
+	if ranges == 1 {
+		return f.askMembers(ctx, version, s.members), s.sample(len(s.alive))
+	}
+	return f.askRanges(ctx, version, s, ranges), s.sample(ranges)
+}
+
+// conclude takes in a complete round.
+func (f *Follower) conclude(stamp evidence.Stamp) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Adopt(evidence.Majority, stamp)
+	f.state.Settle(stamp.Version, f.clock.Now())
+}
+
+// askMembers asks members directly; the channel closes after the last one.
+func (f *Follower) askMembers(ctx context.Context, version uint64, members []table.Member) <-chan tally {
+	out := make(chan tally, len(members))
+	return f.collect(out, len(members), func(i int) tally {
+		if f.confirmOne(ctx, version, members[i]) {
+			return tally{1, 1}
+		}
+		return tally{1, 0}
+	})
+}
+
+// askRanges has one alive member ask each range.
+func (f *Follower) askRanges(ctx context.Context, version uint64, s *fleet, ranges int) <-chan tally {
+	out := make(chan tally, ranges)
+	return f.collect(out, ranges, func(i int) tally { return f.delegate(ctx, version, s, i, ranges) })
+}
+
+// collect runs ask for 0 to n-1 at a time and closes out after the last one.
+func (f *Follower) collect(out chan tally, n int, ask func(i int) tally) <-chan tally {
+	done := make(chan struct{}, n)
+	for i := range n {
+		go func() {
+			out <- ask(i)
+			done <- struct{}{}
+		}()
+	}
+	go func() {
+		for range n {
+			<-done
+		}
+		close(out)
+	}()
+	return out
+}
+
+// confirmOne has one member confirm a version.
+func (f *Follower) confirmOne(ctx context.Context, version uint64, m table.Member) bool {
+	if m.ID == f.ID {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.state.Confirms(version)
+	}
+	if m.State == table.Dead {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	reply, err := f.peers.To(ctx, m.Address).Confirm(ctx, f.question(version))
+	if err != nil || reply.Id != m.ID {
+		return false
+	}
+	f.noteHeard(reply.Id, reply.Installed)
+	f.learn(reply.Known)
+	return reply.Confirmed
+}
+
+func (f *Follower) learn(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Learn(version)
+}
+
+// delegate has a random member ask a range; if that fails, another one.
+func (f *Follower) delegate(ctx context.Context, version uint64, s *fleet, index, ranges int) tally {
+	req := &peerpb.GatherRequest{Address: f.Address, Version: version, Index: uint32(index), Ranges: uint32(ranges)}
+	for _, address := range s.sample(2) {
+		reply, err := f.gather(ctx, address, req)
+		if err != nil {
+			continue
+		}
+		f.learn(reply.Known)
+		return tally{int(reply.Members), int(reply.Confirmed)}
+	}
+	return tally{}
+}
+
+func (f *Follower) gather(ctx context.Context, address string, req *peerpb.GatherRequest) (*peerpb.GatherReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	return f.peers.To(ctx, address).Gather(ctx, req)
+}
+
+// HandleGather asks one range of members on behalf of another node.
+func (f *Follower) HandleGather(ctx context.Context, req *peerpb.GatherRequest) (*peerpb.GatherReply, error) {
+	if req.Version > f.installed() {
+		f.pullLogged(ctx, req.Address)
+	}
+	members := f.fleet.get().inRange(int(req.Index), int(req.Ranges))
+	reply := &peerpb.GatherReply{Members: uint32(len(members))}
+	for t := range f.askMembers(ctx, req.Version, members) {
+		reply.Confirmed += uint32(t.confirmed)
+	}
+	reply.Known, _ = f.Known()
+	return reply, nil
+}
+
+// Reach returns an error unless this node reaches a majority of the members.
+func (f *Follower) Reach(ctx context.Context) error {
+	return f.repeat(ctx, reachTimeout, f.round)
+}
+
+// Settle returns once a majority of the members is known to hold a version or a
+// higher one.
+func (f *Follower) Settle(ctx context.Context, version uint64) error {
+	return f.repeat(ctx, settleTimeout, func(ctx context.Context) bool {
+		if f.settled() < version {
+			f.round(ctx)
+		}
+		return f.settled() >= version
+	})
+}
+
+func (f *Follower) settled() uint64 {
+	_, settled := f.Known()
+	return settled
+}
+
+// repeat tries until it succeeds or the time is up; between tries it catches up
+// with the platform.
+func (f *Follower) repeat(ctx context.Context, limit time.Duration, try func(context.Context) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !try(ctx) {
+		select {
+		case <-ctx.Done():
+			return errNoMajority
+		case <-time.After(roundPause + rand.N(roundPause)):
+		}
+		_ = f.Poll(ctx)
+	}
+	return nil
+}
--- a/test/script/commands_test.go
+++ b/test/script/commands_test.go
@@ -31,8 +31,8 @@
 //	addnode                       start one more node
 //	backend NODE SERVICE [FLAG..] start a backend server
 //	ready ENDPOINTS NODE..        wait until the nodes see so many endpoints
-//	start|kill|freeze|thaw NAME.. control processes (nodes, NODE-SERVICE, platform)
-//	stop NAME..                   planned stop of all at once; each must exit with 0
+//	start|crash|freeze|thaw NAME.. control processes (nodes, NODE-SERVICE, platform)
+//	leave NAME..                  planned stop of all at once; each must exit with 0
 //	cut|heal A B                  a link both ways; A>B one way
 //	platform JSON                 the platform's faults
 //	behave NODE SERVICE JSON      what a backend server does
@@ -45,13 +45,15 @@
 //	journal NODE SERVICE          print what a backend server ran
 //	metric NODE PATTERN           print matching metric lines
 //	withdraw NODE TEAM ACCOUNT    withdraw the account's key
+//	race TEAM,.. NODE..           operators at the nodes change the teams' subtrees at once
 //	sleep SECONDS
 var commands = wrap(map[string]command{
 	"fleet": fleetCmd, "addnode": addNodeCmd, "backend": backendCmd, "ready": readyCmd,
-	"start": startCmd, "kill": killCmd, "freeze": freezeCmd, "thaw": thawCmd, "stop": stopCmd,
+	"start": startCmd, "crash": killCmd, "freeze": freezeCmd, "thaw": thawCmd, "leave": stopCmd,
 	"cut": cutCmd, "heal": healCmd, "platform": platformCmd, "behave": behaveCmd,
 	"request": requestCmd, "traffic": trafficCmd, "endtraffic": endTrafficCmd,
 	"journal": journalCmd, "metric": metricCmd, "withdraw": withdrawCmd, "sleep": sleepCmd,
+	"race": raceCmd,
 })
 
 // retryable are the commands that eventually may repeat.
