--- a/internal/decide/evidence/round.go
+++ b/internal/decide/evidence/round.go
@@ -43,8 +43,11 @@
 	minPollInterval = 500 * time.Millisecond
 	// membersPerRange bounds the members that one node asks in a round.
 	membersPerRange = 64
+	// minTold and toldPerRange bound how many members hear at once of a round.
+	minTold      = 64
+	toldPerRange = 4
 	// roundsPerTick is how many rounds the whole fleet begins in one tick.
-	roundsPerTick = 1.0
+	roundsPerTick = 2.0
 )
 
 // PollInterval is the mean pause between one node's reads of the head row, in a
@@ -62,3 +65,8 @@
 func Ranges(members int) int {
 	return max(1, (members+membersPerRange-1)/membersPerRange)
 }
+
+// Told is how many members hear at once of a complete round; the others pull it.
+func Told(members int) int {
+	return min(members, max(minTold, toldPerRange*Ranges(members)))
+}
--- a/internal/system/settingsync/accept.go
+++ b/internal/system/settingsync/accept.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tree, objects, err := load(ctx, a.store, head, a.fleet.Objects())
+	tree, objects, err := load(ctx, platformObjects{a.store}, head, a.fleet.Objects())
 	return &base{head, row, tree, objects}, err
 }
 
--- a/internal/system/settingsync/follower.go
+++ b/internal/system/settingsync/follower.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.install(ctx, head, f.store); err != nil {
+	if err := f.install(ctx, head, platformObjects{f.store}); err != nil {
 		return err
 	}
 	f.mu.Lock()
@@ -245,42 +245,3 @@
 	}
 	return h, row.Version, nil
 }
-
-// objectGetter has settings objects: the platform, or another node.
-type objectGetter interface {
-	GetObject(ctx context.Context, name string) ([]byte, error)
-}
-
-// load fetches the tree of a version, taking known objects from have.
-func load(ctx context.Context, from objectGetter, head Head, have map[string][]byte) (*settings.Tree, map[string][]byte, error) {
-	raw, err := fetch(ctx, from, head.Manifest, have)
-	if err != nil {
-		return nil, nil, err
-	}
-	var m Manifest
-	if err := json.Unmarshal(raw, &m); err != nil {
-		return nil, nil, err
-	}
-	objects := map[string][]byte{head.Manifest: raw}
-	for _, d := range m.Digests() {
-		if objects[d], err = fetch(ctx, from, d, have); err != nil {
-			return nil, nil, err
-		}
-	}
-	tree, err := join(m, objects)
-	return tree, objects, err
-}
-
-func fetch(ctx context.Context, from objectGetter, digest string, have map[string][]byte) ([]byte, error) {
-	if data, ok := have[digest]; ok {
-		return data, nil
-	}
-	data, err := from.GetObject(ctx, digest)
-	if err != nil {
-		return nil, err
-	}
-	if Digest(data) != digest {
-		return nil, &platform.Error{Kind: platform.Unavailable, Op: "object " + digest + " does not match its digest"}
-	}
-	return data, nil
-}
--- a/internal/system/settingsync/majority.go
+++ b/internal/system/settingsync/majority.go
@@ -36,27 +36,26 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), roundTimeout)
 	context.AfterFunc(ctx, cancel)
 	snapshot, version, started := f.fleet.get(), f.installed(), f.clock.Now()
-	tallies, asked := f.ask(ctx, version, snapshot)
+	tallies := f.ask(ctx, version, snapshot)
 	r := evidence.NewRound(version, started, len(snapshot.members))
 	for t := range tallies {
 		r.Add(t.members, t.confirmed)
 		if stamp, ok := r.Complete(f.clock.Now()); ok {
 			f.conclude(stamp)
-			go f.notify(asked, version)
+			go f.notify(snapshot.sample(evidence.Told(len(snapshot.members))), version)
 			return true
 		}
 	}
 	return false
 }
 
-// ask asks all members, directly or by ranges, and returns the addresses to tell
-// of the result.
-func (f *Follower) ask(ctx context.Context, version uint64, s *fleet) (<-chan tally, []string) {
+// ask asks all members, directly or by ranges.
+func (f *Follower) ask(ctx context.Context, version uint64, s *fleet) <-chan tally {
 	ranges := evidence.Ranges(len(s.members))
 	if ranges == 1 {
-		return f.askMembers(ctx, version, s.members), s.sample(len(s.alive))
+		return f.askMembers(ctx, version, s.members)
 	}
-	return f.askRanges(ctx, version, s, ranges), s.sample(ranges)
+	return f.askRanges(ctx, version, s, ranges)
 }
 
 // conclude takes in a complete round.
--- a/internal/system/settingsync/spread.go
+++ b/internal/system/settingsync/spread.go
@@ -7,7 +7,6 @@
 
 	"comfreycart.dev/comfreycart/internal/decide/evidence"
 	"comfreycart.dev/comfreycart/internal/peer/peerpb"
-	"comfreycart.dev/comfreycart/internal/platform"
 )
 
 const (
@@ -68,7 +67,7 @@
 	}
 	f.noteHeard(reply.Id, reply.Installed)
 	head := Head{Version: reply.Installed, Manifest: reply.Manifest}
-	err = f.install(ctx, head, &peerObjects{f.peers, address, f.store})
+	err = f.install(ctx, head, &peerObjects{f.peers, address, platformObjects{f.store}})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.state.Take(standingFromProto(reply), asked, f.clock.Now())
@@ -158,36 +157,6 @@
 	return f.state.Installed()
 }
 
-// HandleObjects serves settings objects to other nodes.
-func (f *Follower) HandleObjects(_ context.Context, req *peerpb.ObjectsRequest) (*peerpb.ObjectsReply, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	reply := &peerpb.ObjectsReply{}
-	for _, d := range req.Digests {
-		if data, ok := f.objects[d]; ok {
-			reply.Objects = append(reply.Objects, &peerpb.Object{Digest: d, Data: data})
-		}
-	}
-	return reply, nil
-}
-
-// peerObjects reads objects from another node, and from the platform what that
-// node no longer has.
-type peerObjects struct {
-	peers    Peers
-	address  string
-	platform platform.Objects
-}
-
-// GetObject implements objectGetter.
-func (p *peerObjects) GetObject(ctx context.Context, name string) ([]byte, error) {
-	reply, err := p.peers.To(ctx, p.address).Objects(ctx, &peerpb.ObjectsRequest{Digests: []string{name}})
-	if err == nil && len(reply.Objects) == 1 && Digest(reply.Objects[0].Data) == name {
-		return reply.Objects[0].Data, nil
-	}
-	return p.platform.GetObject(ctx, name)
-}
-
 func standingToProto(s evidence.Standing) *peerpb.ConfirmReply {
 	reply := &peerpb.ConfirmReply{Installed: s.Installed, Known: s.Known, Settled: s.Settled}
 	for _, x := range s.Stamps {
