Rounds count the widest view of the members, and the head names how many there were

Cause: a node that restarts alone knows no other member, and took itself for a majority: withdraw-alone served a withdrawn key after both the platform and the peers were out of reach (200 in place of settings-stale). Change: a round needs a majority of the largest number of members that the asking node, any asked node, or the head of the version in force knows. A node that pulls with a higher version is followed.

--- a/internal/decide/evidence/bench_test.go
+++ b/internal/decide/evidence/bench_test.go
@@ -78,7 +78,7 @@
 	f.pull(i, f.rng.IntN(len(f.states)))
 	if s.WantsRound(f.now) && f.rng.Float64() < RoundChance(len(f.states)) {
 		f.begun++
-		r := NewRound(1, f.now, len(f.states))
+		r := NewRound(1, f.now, len(f.states), 0)
 		f.rounds = append(f.rounds, simRound{i, r, f.now.Add(simRoundLag)})
 	}
 }
@@ -92,7 +92,7 @@
 		if f.now.Before(r.ends) {
 			return false
 		}
-		r.round.Add(len(f.states), len(f.states))
+		r.round.Add(Tally{Members: len(f.states), Confirmed: len(f.states)})
 		stamp, _ := r.round.Complete(f.now)
 		f.states[r.node].Adopt(Majority, stamp)
 		for range Told(len(f.states)) {
--- a/internal/decide/evidence/evidence_test.go
+++ b/internal/decide/evidence/evidence_test.go
@@ -66,18 +66,26 @@
 }
 
 func TestRoundNeedsAMajorityOfTheLargestView(t *testing.T) {
-	r := NewRound(1, 1, 3)
-	r.Add(2, 2)
+	r := NewRound(1, 1, 3, 3)
+	r.Add(Tally{Members: 2, Confirmed: 2, Widest: 3})
 	_, ok := r.Complete(2)
 	require.True(t, ok)
-	r.Add(2, 0)
+	r.Add(Tally{Members: 2})
 	_, ok = r.Complete(2)
-	require.False(t, ok)
+	require.False(t, ok, "more members answered than were known")
+	r = NewRound(1, 1, 1, 1)
+	r.Add(Tally{Members: 1, Confirmed: 1, Widest: 2})
+	_, ok = r.Complete(2)
+	require.False(t, ok, "a member knows more members")
+	r = NewRound(1, 1, 1, 2)
+	r.Add(Tally{Members: 1, Confirmed: 1, Widest: 1})
+	_, ok = r.Complete(2)
+	require.False(t, ok, "the version was accepted among more members")
 }
 
 func TestRoundsStampIsItsBeginningAndEndsWithItsTerm(t *testing.T) {
-	r := NewRound(7, 10, 1)
-	r.Add(1, 1)
+	r := NewRound(7, 10, 1, 1)
+	r.Add(Tally{Members: 1, Confirmed: 1})
 	stamp, ok := r.Complete(clock.Time(FreshFor) + 10)
 	require.True(t, ok)
 	require.Equal(t, Stamp{7, 10}, stamp)
--- a/internal/decide/evidence/round.go
+++ b/internal/decide/evidence/round.go
@@ -10,27 +10,40 @@
 type Round struct {
 	version   uint64
 	started   clock.Time
-	members   int
+	floor     int
+	widest    int
 	told      int
 	confirmed int
 }
 
-// NewRound begins a round among so many members, the asking one included.
-func NewRound(version uint64, started clock.Time, members int) *Round {
-	return &Round{version: version, started: started, members: members}
+// NewRound begins a round of a node that knows so many members, itself included,
+// and has a version in force that was accepted among at least floor of them.
+func NewRound(version uint64, started clock.Time, members, floor int) *Round {
+	return &Round{version: version, started: started, floor: floor, widest: members}
 }
 
-// Add counts one range of members: how many there are and how many confirmed. The
-// ranges of a round share no member.
-func (r *Round) Add(members, confirmed int) {
-	r.told += members
-	r.confirmed += min(members, confirmed)
+// Tally is the answer of one range of members.
+type Tally struct {
+	// Members is the number of members in the range, and Confirmed that of them
+	// who confirmed.
+	Members, Confirmed int
+	// Widest is the largest number of members in all that one of them knows.
+	Widest int
 }
 
+// Add counts a range. The ranges of a round share no member.
+func (r *Round) Add(t Tally) {
+	r.told += t.Members
+	r.confirmed += min(t.Members, t.Confirmed)
+	r.widest = max(r.widest, t.Widest, r.told)
+}
+
+// Widest is the largest number of members that a node of the round knows.
+func (r *Round) Widest() int { return r.widest }
+
 // Complete returns the stamp that the round gives, if a majority confirmed in time.
 func (r *Round) Complete(now clock.Time) (Stamp, bool) {
-	members := max(r.members, r.told)
-	if 2*r.confirmed <= members || now.Sub(r.started) > FreshFor {
+	if 2*r.confirmed <= max(r.floor, r.widest) || now.Sub(r.started) > FreshFor {
 		return Stamp{}, false
 	}
 	return Stamp{r.version, r.started}, true
--- a/internal/decide/evidence/world_test.go
+++ b/internal/decide/evidence/world_test.go
@@ -180,7 +180,7 @@
 
 func (w *world) gather(a *node) {
 	version, started := a.state.Installed(), w.clock(a)
-	r := NewRound(version, started, len(w.nodes))
+	r := NewRound(version, started, len(w.nodes), 0)
 	counted := map[int]bool{}
 	for _, b := range w.nodes {
 		w.later(a, b, func() {
@@ -192,7 +192,7 @@
 					return
 				}
 				counted[b.index] = true
-				r.Add(1, 1)
+				r.Add(Tally{Members: 1, Confirmed: 1})
 				w.conclude(a, r)
 			})
 		})
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -41,6 +41,10 @@
 func provideFollower(o settingsync.Options, clk clock.Clock, s platform.Store, cur *settingsync.Current, members *table.Members, p *peer.Client, log zerolog.Logger, m *metric.Set) *settingsync.Follower {
 	f := settingsync.NewFollower(o, clk, s, cur, members, p, log)
 	m.Gauge("comfreycart_settings_staleness_seconds", func() float64 { return f.Staleness().Seconds() })
+	m.Gauge("comfreycart_settings_settled_version", func() float64 {
+		_, settled := f.Known()
+		return float64(settled)
+	})
 	m.Gauge("comfreycart_settings_version", func() float64 {
 		if v := cur.View(); v != nil {
 			return float64(v.Version)
--- a/internal/system/settingsync/accept.go
+++ b/internal/system/settingsync/accept.go
@@ -44,6 +44,8 @@
 	Objects() map[string][]byte
 	// Reach returns an error unless this node reaches a majority of the members.
 	Reach(ctx context.Context) error
+	// Widest is the largest number of members that a node of the last round knew.
+	Widest() int
 	// Hold puts a version that was just made the head in force at this node.
 	Hold(head Head, tree *settings.Tree, objects map[string][]byte, asked clock.Time)
 	// Settle returns once a majority of the members holds a version.
--- a/internal/system/settingsync/document.go
+++ b/internal/system/settingsync/document.go
@@ -18,6 +18,8 @@
 type Head struct {
 	Version  uint64 `json:"version"`
 	Manifest string `json:"manifest"`
+	// Members is the number of members that the version was accepted among.
+	Members int `json:"members"`
 }
 
 // Manifest names the objects of one version by digest.
--- a/internal/system/settingsync/fleet.go
+++ b/internal/system/settingsync/fleet.go
@@ -16,6 +16,8 @@
 	members []table.Member
 	// alive are the members to ask, this node left out.
 	alive []table.Member
+	// left is the number of members that have left and are still known.
+	left int
 	// domain is the number of alive members of this node's failure domain.
 	domain int
 }
@@ -44,6 +46,7 @@
 	out := &fleet{changes: changes}
 	for _, m := range c.members.All() {
 		if m.State == table.Left {
+			out.left++
 			continue
 		}
 		out.members = append(out.members, m)
--- a/internal/system/settingsync/follower.go
+++ b/internal/system/settingsync/follower.go
@@ -63,6 +63,7 @@
 	mu       sync.Mutex
 	state    *evidence.State
 	head     Head
+	widest   int
 	objects  map[string][]byte
 	fetching uint64
 	heard    map[string]Heard
@@ -222,6 +223,13 @@
 	return f.objects
 }
 
+// Widest is the largest number of members that a node of the last round knew.
+func (f *Follower) Widest() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.widest
+}
+
 // Hold puts a version that this node has just made the head in force. The
 // transaction was sent at asked.
 func (f *Follower) Hold(head Head, tree *settings.Tree, objects map[string][]byte, asked clock.Time) {
--- a/internal/system/settingsync/majority.go
+++ b/internal/system/settingsync/majority.go
@@ -27,21 +27,19 @@
 // errNoMajority: no majority of the members confirmed a version in time.
 var errNoMajority = errors.New("no majority of the members answered")
 
-// tally is what asking one range of members gave.
-type tally struct{ members, confirmed int }
-
 // round asks all members to confirm the version in force, and reports whether a
 // majority did. It returns as soon as that is clear.
 func (f *Follower) round(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), roundTimeout)
 	context.AfterFunc(ctx, cancel)
-	snapshot, version, started := f.fleet.get(), f.installed(), f.clock.Now()
+	snapshot, started := f.fleet.get(), f.clock.Now()
+	version, floor := f.inForce()
 	tallies := f.ask(ctx, version, snapshot)
-	r := evidence.NewRound(version, started, len(snapshot.members))
+	r := evidence.NewRound(version, started, len(snapshot.members), floor-snapshot.left)
 	for t := range tallies {
-		r.Add(t.members, t.confirmed)
+		r.Add(t)
 		if stamp, ok := r.Complete(f.clock.Now()); ok {
-			f.conclude(stamp)
+			f.conclude(stamp, r.Widest())
 			go f.notify(snapshot.sample(evidence.Told(len(snapshot.members))), version)
 			return true
 		}
@@ -50,7 +48,7 @@
 }
 
 // ask asks all members, directly or by ranges.
-func (f *Follower) ask(ctx context.Context, version uint64, s *fleet) <-chan tally {
+func (f *Follower) ask(ctx context.Context, version uint64, s *fleet) <-chan evidence.Tally {
 	ranges := evidence.Ranges(len(s.members))
 	if ranges == 1 {
 		return f.askMembers(ctx, version, s.members)
@@ -58,33 +56,38 @@
 	return f.askRanges(ctx, version, s, ranges)
 }
 
+// inForce returns the version in force and the members that it was accepted among.
+func (f *Follower) inForce() (version uint64, members int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Installed(), f.head.Members
+}
+
 // conclude takes in a complete round.
-func (f *Follower) conclude(stamp evidence.Stamp) {
+func (f *Follower) conclude(stamp evidence.Stamp, widest int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.widest = widest
 	f.state.Adopt(evidence.Majority, stamp)
 	f.state.Settle(stamp.Version, f.clock.Now())
 }
 
 // askMembers asks members directly; the channel closes after the last one.
-func (f *Follower) askMembers(ctx context.Context, version uint64, members []table.Member) <-chan tally {
-	out := make(chan tally, len(members))
-	return f.collect(out, len(members), func(i int) tally {
-		if f.confirmOne(ctx, version, members[i]) {
-			return tally{1, 1}
-		}
-		return tally{1, 0}
+func (f *Follower) askMembers(ctx context.Context, version uint64, members []table.Member) <-chan evidence.Tally {
+	out := make(chan evidence.Tally, len(members))
+	return f.collect(out, len(members), func(i int) evidence.Tally {
+		return f.confirmOne(ctx, version, members[i])
 	})
 }
 
 // askRanges has one alive member ask each range.
-func (f *Follower) askRanges(ctx context.Context, version uint64, s *fleet, ranges int) <-chan tally {
-	out := make(chan tally, ranges)
-	return f.collect(out, ranges, func(i int) tally { return f.delegate(ctx, version, s, i, ranges) })
+func (f *Follower) askRanges(ctx context.Context, version uint64, s *fleet, ranges int) <-chan evidence.Tally {
+	out := make(chan evidence.Tally, ranges)
+	return f.collect(out, ranges, func(i int) evidence.Tally { return f.delegate(ctx, version, s, i, ranges) })
 }
 
 // collect runs ask for 0 to n-1 at a time and closes out after the last one.
-func (f *Follower) collect(out chan tally, n int, ask func(i int) tally) <-chan tally {
+func (f *Follower) collect(out chan evidence.Tally, n int, ask func(i int) evidence.Tally) <-chan evidence.Tally {
 	done := make(chan struct{}, n)
 	for i := range n {
 		go func() {
@@ -102,24 +105,38 @@
 }
 
 // confirmOne has one member confirm a version.
-func (f *Follower) confirmOne(ctx context.Context, version uint64, m table.Member) bool {
+func (f *Follower) confirmOne(ctx context.Context, version uint64, m table.Member) evidence.Tally {
+	out := evidence.Tally{Members: 1}
 	if m.ID == f.ID {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return f.state.Confirms(version)
+		out.Confirmed = count(f.confirms(version))
+		return out
 	}
 	if m.State == table.Dead {
-		return false
+		return out
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	reply, err := f.peers.To(ctx, m.Address).Confirm(ctx, f.question(version))
 	if err != nil || reply.Id != m.ID {
-		return false
+		return out
 	}
 	f.noteHeard(reply.Id, reply.Installed)
 	f.learn(reply.Known)
-	return reply.Confirmed
+	out.Confirmed, out.Widest = count(reply.Confirmed), int(reply.Members)
+	return out
+}
+
+func (f *Follower) confirms(version uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Confirms(version)
+}
+
+func count(confirmed bool) int {
+	if confirmed {
+		return 1
+	}
+	return 0
 }
 
 func (f *Follower) learn(version uint64) {
@@ -129,7 +146,7 @@
 }
 
 // delegate has a random member ask a range; if that fails, another one.
-func (f *Follower) delegate(ctx context.Context, version uint64, s *fleet, index, ranges int) tally {
+func (f *Follower) delegate(ctx context.Context, version uint64, s *fleet, index, ranges int) evidence.Tally {
 	req := &peerpb.GatherRequest{Address: f.Address, Version: version, Index: uint32(index), Ranges: uint32(ranges)}
 	for _, address := range s.sample(2) {
 		reply, err := f.gather(ctx, address, req)
@@ -137,9 +154,13 @@
 			continue
 		}
 		f.learn(reply.Known)
-		return tally{int(reply.Members), int(reply.Confirmed)}
+		return evidence.Tally{
+			Members:   int(reply.Members),
+			Confirmed: int(reply.Confirmed),
+			Widest:    int(reply.Widest),
+		}
 	}
-	return tally{}
+	return evidence.Tally{}
 }
 
 func (f *Follower) gather(ctx context.Context, address string, req *peerpb.GatherRequest) (*peerpb.GatherReply, error) {
@@ -153,10 +174,12 @@
 	if req.Version > f.installed() {
 		f.pullLogged(ctx, req.Address)
 	}
-	members := f.fleet.get().inRange(int(req.Index), int(req.Ranges))
-	reply := &peerpb.GatherReply{Members: uint32(len(members))}
+	snapshot := f.fleet.get()
+	members := snapshot.inRange(int(req.Index), int(req.Ranges))
+	reply := &peerpb.GatherReply{Members: uint32(len(members)), Widest: uint32(len(snapshot.members))}
 	for t := range f.askMembers(ctx, req.Version, members) {
-		reply.Confirmed += uint32(t.confirmed)
+		reply.Confirmed += uint32(t.Confirmed)
+		reply.Widest = max(reply.Widest, uint32(t.Widest))
 	}
 	reply.Known, _ = f.Known()
 	return reply, nil
--- a/internal/system/settingsync/move.go
+++ b/internal/system/settingsync/move.go
@@ -124,7 +124,7 @@
 			return Head{}, nil, err
 		}
 	}
-	return Head{Version: version, Manifest: Digest(raw)}, objects, nil
+	return Head{Version: version, Manifest: Digest(raw), Members: m.acceptor.fleet.Widest()}, objects, nil
 }
 
 // tx moves the head from the given row version, and remembers the change.
--- a/internal/system/settingsync/spread.go
+++ b/internal/system/settingsync/spread.go
@@ -16,6 +16,8 @@
 	pullTimeout = 700 * time.Millisecond
 	// pushFanout is how many members a node tells of a version that it installed.
 	pushFanout = 4
+	// heardSlack bounds what is kept of members' versions, as a multiple of the members.
+	heardSlack = 2
 )
 
 // exchangeLoop pulls from one random member a tick, and begins a round at need.
@@ -66,7 +68,7 @@
 		return err
 	}
 	f.noteHeard(reply.Id, reply.Installed)
-	head := Head{Version: reply.Installed, Manifest: reply.Manifest}
+	head := Head{Version: reply.Installed, Manifest: reply.Manifest, Members: int(reply.HeadMembers)}
 	err = f.install(ctx, head, &peerObjects{f.peers, address, platformObjects{f.store}})
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -82,9 +84,24 @@
 }
 
 func (f *Follower) noteHeard(id string, version uint64) {
+	known := f.fleet.get()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.heard[id] = Heard{version, f.clock.Now()}
+	if len(f.heard) > heardSlack*len(known.members)+heardSlack {
+		f.forgetGone(known)
+	}
+}
+
+// forgetGone drops what members said that are no longer known.
+func (f *Follower) forgetGone(known *fleet) {
+	kept := make(map[string]Heard, len(known.members))
+	for _, m := range known.members {
+		if h, ok := f.heard[m.ID]; ok {
+			kept[m.ID] = h
+		}
+	}
+	f.heard = kept
 }
 
 // notify tells nodes that there is something to pull here.
@@ -106,15 +123,21 @@
 
 // HandleNotice pulls from the sender if that can bring anything.
 func (f *Follower) HandleNotice(_ context.Context, req *peerpb.NoticeRequest) (*peerpb.NoticeReply, error) {
-	if f.beginFetch(req.Version) {
-		go func() {
-			f.pullLogged(context.Background(), req.Address)
-			f.endFetch()
-		}()
-	}
+	f.follow(req.Address, req.Version)
 	return &peerpb.NoticeReply{}, nil
 }
 
+// follow pulls from a node that has a version, if that can bring anything.
+func (f *Follower) follow(address string, version uint64) {
+	if !f.beginFetch(version) {
+		return
+	}
+	go func() {
+		f.pullLogged(context.Background(), address)
+		f.endFetch()
+	}()
+}
+
 // beginFetch reports whether a pull for a noticed version is worth it; one at a
 // time runs for each version.
 func (f *Follower) beginFetch(version uint64) bool {
@@ -141,12 +164,18 @@
 	if req.Round > f.installed() {
 		f.pullLogged(ctx, req.Address)
 	}
+	if req.Installed > f.installed() {
+		f.follow(req.Address, req.Installed)
+	}
+	members := len(f.fleet.get().members)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.state.Learn(max(req.Round, req.Installed))
 	reply := standingToProto(f.state.Standing(f.clock.Now()))
 	reply.Id = f.ID
 	reply.Manifest = f.head.Manifest
+	reply.HeadMembers = uint32(f.head.Members)
+	reply.Members = uint32(members)
 	reply.Confirmed = f.state.Confirms(req.Round)
 	return reply, nil
 }
