--- a/internal/decide/evidence/bench_test.go
+++ b/internal/decide/evidence/bench_test.go
@@ -51,7 +51,7 @@
 }
 
 func (f *simFleet) pollPause() time.Duration {
-	mean := PollInterval(max(1, len(f.states)/simDomains))
+	mean := PollInterval(max(1, len(f.states)/simDomains), false)
 	return mean/2 + time.Duration(f.rng.Int64N(int64(mean)))
 }
 
--- a/internal/decide/evidence/evidence_test.go
+++ b/internal/decide/evidence/evidence_test.go
@@ -116,7 +116,8 @@
 
 func TestPollsOfADomainDoNotGrowWithIt(t *testing.T) {
 	for _, members := range []int{10, 100, 460, 5500} {
-		reads := float64(members) / PollInterval(members).Seconds()
+		reads := float64(members) / PollInterval(members, false).Seconds()
 		require.LessOrEqual(t, reads, float64(domainReads))
+		require.LessOrEqual(t, 2*PollInterval(members, true), FreshFor)
 	}
 }
--- a/internal/decide/evidence/round.go
+++ b/internal/decide/evidence/round.go
@@ -54,6 +54,8 @@
 	domainReads = 20
 	// minPollInterval is the pause between one node's reads in a small domain.
 	minPollInterval = 500 * time.Millisecond
+	// aloneAfter is how long a node hears from no other before it counts as alone.
+	aloneAfter = 2 * time.Second
 	// membersPerRange bounds the members that one node asks in a round.
 	membersPerRange = 64
 	// minTold and toldPerRange bound how many members hear at once of a round.
@@ -64,11 +66,19 @@
 )
 
 // PollInterval is the mean pause between one node's reads of the head row, in a
-// failure domain of so many members.
-func PollInterval(domainMembers int) time.Duration {
+// failure domain of so many members. A node that hears from no other depends on
+// its own reads alone.
+func PollInterval(domainMembers int, alone bool) time.Duration {
+	if alone {
+		return minPollInterval
+	}
 	return max(minPollInterval, time.Duration(domainMembers)*time.Second/domainReads)
 }
 
+// Alone reports whether a node that last heard from another one so long ago
+// depends on its own reads.
+func Alone(silence time.Duration) bool { return silence > aloneAfter }
+
 // RoundChance is the probability that a node that wants a round begins one in a tick.
 func RoundChance(members int) float64 {
 	return min(1, roundsPerTick/float64(max(1, members)))
--- a/internal/system/settingsync/fleet_test.go
+++ b/internal/system/settingsync/fleet_test.go
@@ -180,6 +180,23 @@
 	require.Nil(t, late.Fresh())
 }
 
+// In a large failure domain each node polls rarely, but not when it is alone.
+func TestNodeCutOffFromItsPeersStaysFresh(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t, 1)
+	for i := range 200 {
+		id := fmt.Sprint("unreachable", i)
+		f.members.Merge(table.Member{ID: id, Incarnation: 1, Address: id, Domain: "domain0", State: table.Alive})
+	}
+	_, err := f.acceptor(0).commit(t.Context(), rename("one"))
+	require.NoError(t, err)
+	f.run(t)
+	for range 70 {
+		require.Nil(t, f.followers[0].Fresh())
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // A majority that is gone leaves the change unmade.
 func TestNothingIsAcceptedWithoutAMajority(t *testing.T) {
 	f := newTestFleet(t, 3)
--- a/internal/system/settingsync/follower.go
+++ b/internal/system/settingsync/follower.go
@@ -22,6 +22,14 @@
 // pollTimeout bounds one reading of the head row and the objects it names.
 const pollTimeout = 5 * time.Second
 
+const (
+	// pollCheck is how often a node looks whether its next poll is due.
+	pollCheck = 100 * time.Millisecond
+	// minPollShare is the least pause between polls, as a share of its mean; the
+	// greatest is 1 more.
+	minPollShare = 0.5
+)
+
 // Current is the version that this node has in force. It is safe for concurrent use.
 type Current struct {
 	view atomic.Pointer[settings.View]
@@ -66,7 +74,9 @@
 	widest   int
 	objects  map[string][]byte
 	fetching uint64
-	heard    map[string]Heard
+	// pulled is when another node last answered a pull.
+	pulled clock.Time
+	heard  map[string]Heard
 }
 
 // NewFollower returns a follower that installs into current.
@@ -93,17 +103,33 @@
 		if err := f.Poll(ctx); err != nil {
 			f.log.Warn().Err(err).Msg("settings not read")
 		}
+		if !f.awaitPoll(ctx) {
+			return
+		}
+	}
+}
+
+// awaitPoll waits until the next poll is due, which may become sooner meanwhile. It
+// reports false once ctx has ended.
+func (f *Follower) awaitPoll(ctx context.Context) bool {
+	tick := time.NewTicker(pollCheck)
+	defer tick.Stop()
+	begin, share := f.clock.Now(), minPollShare+rand.Float64()
+	for f.clock.Now().Sub(begin).Seconds() < share*f.pollInterval().Seconds() {
 		select {
 		case <-ctx.Done():
-			return
-		case <-time.After(jitter(evidence.PollInterval(f.fleet.get().domain))):
+			return false
+		case <-tick.C:
 		}
 	}
+	return ctx.Err() == nil
 }
 
-// jitter spreads a pause over half to one and a half of its mean.
-func jitter(mean time.Duration) time.Duration {
-	return mean/2 + rand.N(mean)
+func (f *Follower) pollInterval() time.Duration {
+	domain := f.fleet.get().domain
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return evidence.PollInterval(domain, evidence.Alone(f.clock.Now().Sub(f.pulled)))
 }
 
 // Poll reads the head row once and installs a newer version.
--- a/internal/system/settingsync/spread.go
+++ b/internal/system/settingsync/spread.go
@@ -72,7 +72,8 @@
 	err = f.install(ctx, head, &peerObjects{f.peers, address, platformObjects{f.store}})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.state.Take(standingFromProto(reply), asked, f.clock.Now())
+	f.pulled = f.clock.Now()
+	f.state.Take(standingFromProto(reply), asked, f.pulled)
 	return err
 }
 
