A change sent again without a majority is called unsettled if it was made

Cause: after a 504 the same change, sent to a node without a majority, was answered 'nothing was changed', although the head had moved.

--- a/internal/system/settingsync/accept.go
+++ b/internal/system/settingsync/accept.go
@@ -101,7 +101,7 @@
 // majority of the members holds that version.
 func (a *Acceptor) Accept(ctx context.Context, c Change) (uint64, error) {
 	if err := a.fleet.Reach(ctx); err != nil {
-		return 0, ErrNoMajority
+		return 0, a.unreached(ctx, c)
 	}
 	version, err := a.commit(ctx, c)
 	if err != nil {
@@ -113,6 +113,19 @@
 	return version, nil
 }
 
+// unreached tells a change that an earlier submission made from one never made.
+func (a *Acceptor) unreached(ctx context.Context, c Change) error {
+	m := &move{acceptor: a, change: c}
+	version, err := m.made(ctx)
+	if err != nil {
+		return err
+	}
+	if version != 0 {
+		return fmt.Errorf("version %d: %v: %w", version, errNoMajority, ErrUnsettled)
+	}
+	return ErrNoMajority
+}
+
 // commit moves the head, once.
 func (a *Acceptor) commit(ctx context.Context, c Change) (uint64, error) {
 	sent := false
