--- a/internal/system/settingsync/follower_test.go
+++ b/internal/decide/evidence/fence_test.go
@@ -1,4 +1,4 @@
-package settingsync
+package evidence
 
 import (
 	"testing"
@@ -12,12 +12,15 @@
 // A version stays fenced however often newer ones follow.
 func TestNewerVersionsDoNotUnfence(t *testing.T) {
 	c := &clock.Fake{}
-	f := &Follower{clock: c}
+	c.Advance(time.Second)
+	s := &State{}
 	for v := uint64(1); v <= 20; v++ {
-		f.note(v)
+		s.Learn(v)
+		s.Install(v)
+		s.Settle(v, c.Now())
 		c.Advance(time.Second)
 	}
-	require.True(t, f.Fenced(15))
-	require.False(t, f.Fenced(17))
-	require.Less(t, len(f.installs), 8)
+	require.True(t, s.Fenced(15, c.Now()))
+	require.False(t, s.Fenced(17, c.Now()))
+	require.Less(t, len(s.settled), 8)
 }
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -33,19 +33,20 @@
 	logger := provideLog(log, current)
 	set := metric.NewSet()
 	boot := clock.Boot{}
+	options := provideFollowerOptions(c)
 	store := provideStore(c)
-	follower := provideFollower(c, boot, store, current, logger, set)
-	self := provideSelf(c)
 	endpoints := table.NewEndpoints(boot)
 	members := table.NewMembers(boot, endpoints)
-	acceptor := provideAcceptor(c, store)
-	manager := homes.New(self, boot, members, current, acceptor, follower, logger)
 	source := provideSource(c)
 	tlsConfig, err := providePeerTLS(c, logger)
 	if err != nil {
 		return nil, err
 	}
 	client := peer.NewClient(boot, source, tlsConfig)
+	follower := provideFollower(options, boot, store, current, members, client, logger, set)
+	self := provideSelf(c)
+	acceptor := provideAcceptor(c, boot, store, follower)
+	manager := homes.New(self, boot, members, current, acceptor, follower, logger)
 	sharesManager := shares.New(self, boot, current, manager, follower, client, set)
 	claimsManager := claims.New(self, boot, manager, client, current, set)
 	calls := table.NewCalls()
@@ -60,9 +61,9 @@
 	egressHandler := egress.New(boot, current, calls, runner, set, logger)
 	nodeStatus := provideStatus(self, current, follower, members)
 	adminHandler := provideAdmin(c, current, acceptor, nodeStatus, logger)
-	options := provideMembershipOptions(c, self)
+	membershipOptions := provideMembershipOptions(c, self)
 	transport := membership.NewTransport(client)
-	membershipManager := membership.New(options, boot, members, endpoints, locals, transport, store, set, logger)
+	membershipManager := membership.New(membershipOptions, boot, members, endpoints, locals, transport, store, set, logger)
 	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, follower, sharesManager, claimsManager)
 	node := &Node{
 		Config:     c,
--- a/test/script/commands_test.go
+++ b/test/script/commands_test.go
@@ -49,6 +49,7 @@
 //	metric NODE PATTERN           print matching metric lines
 //	withdraw NODE TEAM ACCOUNT    withdraw the account's key
 //	plain NODE                    talk to the peer listener without TLS
+//	race TEAM,.. NODE..           operators at the nodes change the teams' subtrees at once
 //	sleep SECONDS
 //	inrate ACCOUNT RATE BURST DELAY NODE/SERVICE..    check the windows of its calls, see inRateCmd
 //	refused NAME PERCENT          end traffic; at most PERCENT of it may fail
@@ -59,6 +60,7 @@
 	"request": requestCmd, "traffic": trafficCmd, "endtraffic": endTrafficCmd,
 	"journal": journalCmd, "runs": runsCmd, "metric": metricCmd, "withdraw": withdrawCmd, "sleep": sleepCmd, "plain": plainCmd,
 	"inrate": inRateCmd, "refused": refusedCmd,
+	"race": raceCmd,
 })
 
 // retryable are the commands that eventually may repeat.
