--- a/internal/system/homes/homes.go
+++ b/internal/system/homes/homes.go
@@ -32,7 +32,10 @@
 
 const (
 	reconcileInterval = 100 * time.Millisecond
-	acceptTimeout     = 5 * time.Second
+	// removeAfter is how long a domain without members keeps its part of the
+	// accounts' tokens.
+	removeAfter   = time.Minute
+	acceptTimeout = 5 * time.Second
 )
 
 // Claims is the class of idempotency keys; any node may own its slots.
@@ -73,6 +76,8 @@
 	log      zerolog.Logger
 
 	settled state
+	// empty is since when a class has had no member that may own its slots.
+	empty map[string]clock.Time
 }
 
 // state is what the owners follow from.
@@ -80,7 +85,7 @@
 
 // New returns a manager; Run keeps the slots owned.
 func New(self dispatch.Self, c clock.Clock, m *table.Members, cur *settingsync.Current, a *settingsync.Acceptor, f Fence, log zerolog.Logger) *Manager {
-	return &Manager{self: self, clock: c, members: m, current: cur, acceptor: a, fence: f, log: log}
+	return &Manager{self: self, clock: c, members: m, current: cur, acceptor: a, fence: f, log: log, empty: map[string]clock.Time{}}
 }
 
 // Owner returns the owner of a slot, as far as this node knows.
@@ -154,7 +159,7 @@
 // reconcile reports whether there was nothing to do.
 func (m *Manager) reconcile(ctx context.Context, v *settings.View) bool {
 	alive := m.alive()
-	done := true
+	done := m.removeEmpty(ctx, v, alive)
 	for _, class := range classes(alive) {
 		fit := eligible(class, alive)
 		if choose(class, fit) != m.self.ID || !orphaned(v.Tree.Homes[class], fit) {
@@ -166,6 +171,39 @@
 	return done
 }
 
+// removeEmpty takes the classes of domains that have been without members for long
+// out of the settings, so that the others share all of the accounts' tokens. It
+// reports whether there are none to watch.
+func (m *Manager) removeEmpty(ctx context.Context, v *settings.View, alive map[string]table.Member) bool {
+	empty := emptyClasses(v.Tree.Homes, alive)
+	for class := range m.empty {
+		if !slices.Contains(empty, class) {
+			delete(m.empty, class)
+		}
+	}
+	for _, class := range empty {
+		if _, ok := m.empty[class]; !ok {
+			m.empty[class] = m.clock.Now()
+		}
+		long := m.clock.Now().Sub(m.empty[class]) > removeAfter
+		if long && choose(class, alive) == m.self.ID {
+			m.change(ctx, class, "class removed", func(t *settings.Tree, _ uint64) { delete(t.Homes, class) })
+		}
+	}
+	return len(empty) == 0
+}
+
+// emptyClasses returns the classes of domains without members.
+func emptyClasses(h settings.Homes, alive map[string]table.Member) []string {
+	var out []string
+	for _, domain := range ShareDomains(h) {
+		if len(eligible(Shares(domain), alive)) == 0 {
+			out = append(out, Shares(domain))
+		}
+	}
+	return out
+}
+
 // alive returns the members that may own slots, by ID.
 func (m *Manager) alive() map[string]table.Member {
 	out := map[string]table.Member{}
@@ -228,20 +266,27 @@
 
 // propose gives the orphaned slots of a class to their rendezvous owners.
 func (m *Manager) propose(ctx context.Context, class string, fit map[string]table.Member) {
+	m.change(ctx, class, "slots assigned", func(t *settings.Tree, version uint64) {
+		assign(t, class, version, fit)
+	})
+}
+
+// change makes one change to the owners of a class.
+func (m *Manager) change(ctx context.Context, class, what string, apply func(t *settings.Tree, version uint64)) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	version, err := m.acceptor.Accept(ctx, settingsync.Change{
 		ID: uuid.NewString(),
 		Apply: func(t *settings.Tree, version uint64) error {
-			assign(t, class, version, fit)
+			apply(t, version)
 			return nil
 		},
 	})
 	if err != nil {
-		m.log.Warn().Err(err).Str("class", class).Msg("slots not assigned")
+		m.log.Warn().Err(err).Str("class", class).Msg("owners not changed")
 		return
 	}
-	m.log.Info().Str("class", class).Uint64("version", version).Msg("slots assigned")
+	m.log.Info().Str("class", class).Uint64("version", version).Msg(what)
 }
 
 func assign(t *settings.Tree, class string, version uint64, fit map[string]table.Member) {
--- a/internal/system/shares/draw.go
+++ b/internal/system/shares/draw.go
@@ -87,46 +87,37 @@
 	m.metric.drawn.Inc()
 }
 
-// avoidKey names a slot's home of one domain.
-type avoidKey struct {
-	domain string
-	slot   int
-}
-
 // ask sends a draw to the account's home in a domain. It returns nil if the home is
-// missing, lost, or may not act, and then avoids it for a while.
+// missing, lost, or may not act, and then avoids it.
 func (m *Manager) ask(ctx context.Context, domain string, req *peerpb.DrawRequest, timeout time.Duration) (escrow.Source, *peerpb.DrawReply) {
-	key := avoidKey{domain, homes.Slot(req.Account)}
-	if m.avoids(key) {
-		return escrow.Source{}, nil
-	}
-	owner, ok := m.homes.Owner(homes.Shares(domain), key.slot)
-	if !ok {
-		return escrow.Source{}, nil
-	}
-	source := escrow.Source{Address: owner.Address, Incarnation: owner.Incarnation}
-	if owner.Node == m.self.ID {
-		source.Address = ""
+	slot := homes.Slot(req.Account)
+	source, ok := m.source(domain, slot)
+	if !ok || m.avoids(source, slot) {
+		return source, nil
 	}
 	reply, err := m.send(ctx, source, req, timeout)
 	if err != nil {
-		m.avoid(key, avoidLost)
+		m.avoided.lose(m.clock.Now(), source)
 		return source, nil
 	}
 	if !reply.Home {
-		m.avoid(key, avoidIdle)
+		m.avoided.idle(m.clock.Now(), source, slot)
 		return source, nil
 	}
 	return source, reply
 }
 
-func (m *Manager) avoids(key avoidKey) bool {
-	until, ok := m.avoided.Load(key)
-	return ok && m.clock.Now().Before(until.(clock.Time))
-}
-
-func (m *Manager) avoid(key avoidKey, d time.Duration) {
-	m.avoided.Store(key, m.clock.Now().Add(d))
+// source returns the home of a slot in a domain; an empty address is this node.
+func (m *Manager) source(domain string, slot int) (escrow.Source, bool) {
+	owner, ok := m.homes.Owner(homes.Shares(domain), slot)
+	if !ok {
+		return escrow.Source{}, false
+	}
+	source := escrow.Source{Address: owner.Address, Incarnation: owner.Incarnation}
+	if owner.Node == m.self.ID {
+		source.Address = ""
+	}
+	return source, true
 }
 
 // send reaches a home, without the network where it is this node.
--- a/internal/system/shares/home.go
+++ b/internal/system/shares/home.go
@@ -158,7 +158,7 @@
 		d.m.metric.granted.Add(g.Tokens)
 	}
 	if len(grants) == 0 {
-		wait := h.levels.Wait(now, h.part.Available(now), others, d.limits)
+		wait := h.levels.Wait(now, h.part.Available(now), d.reachable(others), d.limits)
 		reply.WaitUs = max(wait, h.pace.Next(h.asks.PerSecond(now))).Microseconds()
 	} else if !d.req.FromHome && h.part.Available(now) < h.flow.Ahead(now)/2 && h.fetching == nil {
 		go d.fetch(context.Background(), others)
@@ -245,11 +245,13 @@
 	}
 }
 
-// reachable returns the domains whose home is not avoided.
+// reachable returns the domains whose home is known and not avoided.
 func (d *draw) reachable(domains []string) []string {
 	out := make([]string, 0, len(domains))
+	slot := homes.Slot(d.req.Account)
 	for _, domain := range domains {
-		if !d.m.avoids(avoidKey{domain, homes.Slot(d.req.Account)}) {
+		s, ok := d.m.source(domain, slot)
+		if ok && !d.m.avoids(s, slot) {
 			out = append(out, domain)
 		}
 	}
--- a/internal/system/shares/shares.go
+++ b/internal/system/shares/shares.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,16 +24,14 @@
 const (
 	// takeTimeout bounds how long a request waits for a token.
 	takeTimeout = 450 * time.Millisecond
-	// patience is how long one request of an account waits for the homes to accrue a
-	// token; further ones are refused at once.
-	patience = 200 * time.Millisecond
+	// patience is how long requests wait for the homes to accrue a token: as many as
+	// the account's rate lets through meanwhile, up to maxPatient. Others are refused
+	// at once.
+	patience   = 200 * time.Millisecond
+	maxPatient = 16
 	// drawTimeout bounds one draw by an entry node, fetchTimeout one by a home.
 	drawTimeout  = 400 * time.Millisecond
 	fetchTimeout = 150 * time.Millisecond
-	// avoidLost and avoidIdle are how long a home is not asked after it gave no
-	// answer, and after it said that it may not act.
-	avoidLost = time.Second
-	avoidIdle = 250 * time.Millisecond
 	// unreachableRetry is how long no home is asked after none gave an answer.
 	unreachableRetry = 50 * time.Millisecond
 	// flushInterval is how often the use of grants is reported.
@@ -76,7 +73,7 @@
 	slots   [homes.Slots]slot
 	divisor divisor
 	domains atomic.Pointer[domainList]
-	avoided sync.Map
+	avoided avoidances
 	grants  atomic.Uint64
 	metric  *meters
 }
@@ -90,7 +87,7 @@
 
 // Take spends one token of an account, or refuses. It waits for a draw at most
 // takeTimeout.
-func (m *Manager) Take(ctx context.Context, _ *settings.View, name string) *call.Failure {
+func (m *Manager) Take(ctx context.Context, v *settings.View, name string) *call.Failure {
 	a := m.entry(name)
 	a.arrive(m.clock.Now())
 	ok, low := a.spend(m.clock)
@@ -100,22 +97,30 @@
 	if ok {
 		return nil
 	}
-	return m.takeDrawn(ctx, a)
+	return m.takeDrawn(ctx, a, patient(v.Accounts[name].Rate))
 }
 
-// takeDrawn draws until a token could be spent or the homes have none.
-func (m *Manager) takeDrawn(parent context.Context, a *entry) *call.Failure {
+// patient returns how many requests of an account may wait for tokens to accrue.
+func patient(rate float64) int32 {
+	return int32(min(max(rate*patience.Seconds(), 1), maxPatient))
+}
+
+// takeDrawn draws until a token could be spent or the homes have none. Where more
+// than queue requests wait already, it waits for no token to accrue.
+func (m *Manager) takeDrawn(parent context.Context, a *entry, queue int32) *call.Failure {
 	ctx, cancel := context.WithTimeout(parent, takeTimeout)
 	defer cancel()
-	patient := a.waiting.Add(1) == 1
+	mayWait := a.waiting.Add(1) <= queue
 	defer a.waiting.Add(-1)
+	over := false
 	for {
 		wait, reason := a.barred(m.clock.Now())
-		if reason == call.OverRate && !(patient && wait <= patience) {
+		over = over || reason == call.OverRate
+		if reason == call.OverRate && !(mayWait && wait <= patience) {
 			return overRate(a.name, wait)
 		}
 		if !m.awaitDraw(ctx, a, wait) {
-			return noDraw(parent, a.name)
+			return noDraw(parent, a.name, over)
 		}
 		if ok, _ := a.spend(m.clock); ok {
 			return nil
@@ -163,6 +168,9 @@
 	}
 	m.flush(ctx, now, false)
 	m.shards[n%shardCount].prune(now)
+	if n%shardCount == 0 {
+		m.avoided.prune(now)
+	}
 }
 
 // Release gives all tokens back, for a planned stop.
@@ -172,10 +180,14 @@
 	return call.Refuse(call.OverRate, "account %s is over its rate", account).After(wait)
 }
 
-// noDraw is the failure of a request that no home gave an answer for in time.
-func noDraw(parent context.Context, account string) *call.Failure {
+// noDraw is the failure of a request that got no token in time; over is set if a
+// home said that it had none.
+func noDraw(parent context.Context, account string, over bool) *call.Failure {
 	if parent.Err() != nil {
 		return call.Refuse(call.Cancelled, "the caller left before a token was drawn")
 	}
+	if over {
+		return overRate(account, unreachableRetry)
+	}
 	return call.Refuse(call.SharesUnreachable, "no home of account %s can be asked for its rate", account).After(time.Second)
 }
