The last domain's class of shares is never removed

Cause: found by reading: a new domain's node that sees all others dead for a minute could have removed the only class and then begun as a first owner, with a full bucket and without waiting for owners that live on behind a cut. Change: the last class stays. Test in homes_test.go.

--- a/internal/system/homes/homes.go
+++ b/internal/system/homes/homes.go
@@ -213,12 +213,20 @@
 		}
 		long := m.clock.Now().Sub(m.empty[class]) > removeAfter
 		if long && choose(class, r.alive) == m.self.ID {
-			m.change(ctx, class, "class removed", func(t *settings.Tree, _ uint64) { delete(t.Homes, class) })
+			m.change(ctx, class, "class removed", func(t *settings.Tree, _ uint64) { remove(t, class) })
 		}
 	}
 	return len(empty) == 0
 }
 
+// remove takes a domain's class out, but never the last one: the next one would
+// then have no predecessor to wait for.
+func remove(t *settings.Tree, class string) {
+	if len(ShareDomains(t.Homes)) > 1 {
+		delete(t.Homes, class)
+	}
+}
+
 // emptyClasses returns the classes of domains without members.
 func emptyClasses(h settings.Homes, alive map[string]table.Member) []string {
 	var out []string
--- a/internal/system/homes/homes_test.go
+++ b/internal/system/homes/homes_test.go
@@ -68,4 +68,8 @@
 	h := settings.Homes{Claims: nil, Shares("x"): nil, Shares("y"): nil}
 	require.Equal(t, []string{Shares("y")}, emptyClasses(h, known(map[string]string{"n1": "x"}).alive))
 	require.Equal(t, []string{"x", "y"}, ShareDomains(h))
+	tree := &settings.Tree{Homes: h}
+	remove(tree, Shares("y"))
+	remove(tree, Shares("x"))
+	require.Equal(t, []string{"x"}, ShareDomains(h))
 }
