--- a/internal/system/homes/homes.go
+++ b/internal/system/homes/homes.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,10 @@
 	// unknownFor is how long an owner that this node has never heard of keeps its
 	// slots; a node that has just started knows few members.
 	unknownFor = 10 * time.Second
+	// removeAfter is how long a domain without members keeps its part of the
+	// accounts' tokens. It exceeds the time that regions lose each other for, since
+	// the nodes of a domain out of reach still hand its tokens out.
+	removeAfter = 2 * time.Hour
 )
 
 // Claims is the class of idempotency keys; any node may own its slots.
@@ -77,6 +82,8 @@
 	leaving atomic.Bool
 	// unknown holds the owners without a record, and since when.
 	unknown map[string]clock.Time
+	// empty is since when a class has had no member that may own its slots.
+	empty map[string]clock.Time
 }
 
 // state is what the owners follow from.
@@ -84,7 +91,7 @@
 
 // New returns a manager; Run keeps the slots owned.
 func New(self dispatch.Self, c clock.Clock, m *table.Members, cur *settingsync.Current, a *settingsync.Acceptor, f Fence, log zerolog.Logger) *Manager {
-	return &Manager{self: self, clock: c, members: m, current: cur, acceptor: a, fence: f, log: log}
+	return &Manager{self: self, clock: c, members: m, current: cur, acceptor: a, fence: f, log: log, empty: map[string]clock.Time{}}
 }
 
 // Owner returns the owner of a slot, as far as this node knows.
@@ -164,7 +171,7 @@
 // node looks after.
 func (m *Manager) Tick(ctx context.Context) {
 	v := m.current.View()
-	if v == nil || m.fence.Fresh() != nil {
+	if v == nil || m.leaving.Load() || m.fence.Fresh() != nil {
 		return
 	}
 	now := state{m.members.Changes(), v.Version}
@@ -179,7 +186,8 @@
 // reconcile reports whether there was nothing to do.
 func (m *Manager) reconcile(ctx context.Context, v *settings.View) bool {
 	r := newRoster(m.members.All())
-	done := m.noteUnknown(v.Tree.Homes, r)
+	known := m.noteUnknown(v.Tree.Homes, r)
+	done := m.removeEmpty(ctx, v, r) && known
 	for _, class := range r.classes() {
 		if choose(class, r.eligible(class)) != m.self.ID || !r.orphaned(v.Tree.Homes[class]) {
 			continue
@@ -209,22 +217,59 @@
 	return len(unknown) == 0
 }
 
+// removeEmpty takes the classes of domains that have been without members for long
+// out of the settings, so that the others share all of the accounts' tokens. It
+// reports whether there are none to watch.
+func (m *Manager) removeEmpty(ctx context.Context, v *settings.View, r *roster) bool {
+	empty := r.emptyClasses(v.Tree.Homes)
+	for class := range m.empty {
+		if !slices.Contains(empty, class) {
+			delete(m.empty, class)
+		}
+	}
+	for _, class := range empty {
+		if _, ok := m.empty[class]; !ok {
+			m.empty[class] = m.clock.Now()
+		}
+		long := m.clock.Now().Sub(m.empty[class]) > removeAfter
+		if long && choose(class, r.eligible(Claims)) == m.self.ID {
+			m.change(ctx, class, "class removed", func(t *settings.Tree, _ uint64) { remove(t, class) })
+		}
+	}
+	return len(empty) == 0
+}
+
+// remove takes a domain's class out, but never the last one: the next one would
+// then have no predecessor to wait for.
+func remove(t *settings.Tree, class string) {
+	if len(ShareDomains(t.Homes)) > 1 {
+		delete(t.Homes, class)
+	}
+}
+
 // propose gives the orphaned slots of a class to their rendezvous owners.
 func (m *Manager) propose(ctx context.Context, class string, r *roster) {
+	m.change(ctx, class, "slots assigned", func(t *settings.Tree, version uint64) {
+		assign(t, class, version, r)
+	})
+}
+
+// change makes one change to the owners of a class.
+func (m *Manager) change(ctx context.Context, class, what string, apply func(t *settings.Tree, version uint64)) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	version, err := m.acceptor.Accept(ctx, settingsync.Change{
 		ID: uuid.NewString(),
 		Apply: func(t *settings.Tree, version uint64) error {
-			assign(t, class, version, r)
+			apply(t, version)
 			return nil
 		},
 	})
 	if err != nil {
-		m.log.Warn().Err(err).Str("class", class).Msg("slots not assigned")
+		m.log.Warn().Err(err).Str("class", class).Msg("owners not changed")
 		return
 	}
-	m.log.Info().Str("class", class).Uint64("version", version).Msg("slots assigned")
+	m.log.Info().Str("class", class).Uint64("version", version).Msg(what)
 }
 
 func assign(t *settings.Tree, class string, version uint64, r *roster) {
@@ -241,7 +286,7 @@
 			continue
 		}
 		fit := r.eligible(class)
-		id := choose(class+"/"+string(rune('a'+slot)), fit)
+		id := choose(class+"/"+strconv.Itoa(slot), fit)
 		homes[slot] = settings.Home{Node: id, Incarnation: fit[id].Incarnation, Since: version, First: first, Before: h.Since}
 	}
 	t.Homes[class] = homes
--- a/internal/system/homes/roster.go
+++ b/internal/system/homes/roster.go
@@ -64,6 +64,17 @@
 	return out
 }
 
+// emptyClasses returns the classes of domains without present members.
+func (r *roster) emptyClasses(h settings.Homes) []string {
+	var out []string
+	for _, domain := range ShareDomains(h) {
+		if len(r.eligible(Shares(domain))) == 0 {
+			out = append(out, Shares(domain))
+		}
+	}
+	return out
+}
+
 // orphaned reports whether a class has a slot without an owner.
 func (r *roster) orphaned(slots []settings.Home) bool {
 	return len(slots) != Slots || slices.ContainsFunc(slots, r.gone)
