--- a/internal/api/message.go
+++ b/internal/api/message.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -37,19 +38,22 @@
 // secretHeaders may hold a key.
 var secretHeaders = []string{"Authorization", "Proxy-Authorization", "Cookie"}
 
-// NewServer returns an HTTP/1.1 and h2c server with the limits of every listener.
-func NewServer(h http.Handler) *http.Server {
+// NewServer returns an HTTP/1.1, HTTP/2 and h2c server with the limits of every listener.
+func NewServer(h http.Handler) *http.Server { return newServer(h, readTimeout) }
+
+func newServer(h http.Handler, bodyTime time.Duration) *http.Server {
 	n := negroni.New(negroni.HandlerFunc(recovery))
 	n.UseHandler(h)
 	s := &http.Server{
 		Handler:           n,
 		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       readTimeout,
+		ReadTimeout:       bodyTime,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         &http.Protocols{},
 	}
 	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetHTTP2(true)
 	s.Protocols.SetUnencryptedHTTP2(true)
 	return s
 }
@@ -140,10 +144,12 @@
 func WriteAnswer(w http.ResponseWriter, r *http.Request, a *call.Answer) {
 	h := w.Header()
 	for name, values := range a.Header {
-		h[name] = values
+		if !slices.Contains(hopHeaders, name) {
+			h[name] = values
+		}
 	}
-	if hasBody(r.Method, a.Status) {
-		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if length := contentLength(r.Method, a); length != "" {
+		h.Set("Content-Length", length)
 	}
 	w.WriteHeader(a.Status)
 	if hasBody(r.Method, a.Status) {
@@ -151,6 +157,15 @@
 	}
 }
 
+// contentLength is the length of the body that is sent, or for an answer without one
+// the length that the backend server named.
+func contentLength(method string, a *call.Answer) string {
+	if hasBody(method, a.Status) {
+		return strconv.Itoa(len(a.Body))
+	}
+	return a.Header.Get("Content-Length")
+}
+
 func hasBody(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -4,7 +4,6 @@
 
 import (
 	"github.com/google/wire"
-	"github.com/rs/zerolog"
 
 	"comfreycart.dev/comfreycart/internal/api/admin"
 	"comfreycart.dev/comfreycart/internal/api/caller"
@@ -25,18 +24,18 @@
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
-// New puts a node together; Run starts it.
-func New(c *config.Node, log zerolog.Logger) *Node {
+// New puts a node together; Run starts it. It fails if a certificate cannot be read.
+func New(c *config.Node, log BaseLog) (*Node, error) {
 	wire.Build(
 		wire.Struct(new(Node), "Config", "Log", "Metric", "Caller", "Backend", "Egress", "Admin",
 			"PeerServer", "PeerClient", "Follower", "Membership", "Homes", "Fences", "Server", "Claims"),
-		provideSelf, provideSource, provideStore, provideFollower, provideAcceptor, provideMembershipOptions,
+		provideLog, provideSelf, provideSource, providePeerTLS, provideStore, provideFollower, provideAcceptor, provideMembershipOptions,
 		provideBackend, provideAdmin, provideStatus,
 		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
 		wire.Struct(new(settingsync.Current)),
 		metric.NewSet,
 		table.NewCalls, table.NewLocals, table.NewMembers, table.NewEndpoints,
-		homes.New, fence.New, serve.New, dispatch.New, membership.New, shares.New, claims.New, claims.NewRunner,
+		homes.New, fence.New, serve.New, dispatch.New, membership.New, membership.NewTransport, shares.New, claims.New, claims.NewRunner,
 		entry.New, caller.New, egress.New,
 		peer.NewClient, peer.NewServer,
 		wire.Bind(new(admin.StatusSource), new(*status)),
@@ -56,5 +55,5 @@
 		wire.Bind(new(peer.ShareHome), new(*shares.Manager)),
 		wire.Bind(new(peer.ClaimHome), new(*claims.Manager)),
 	)
-	return nil
+	return nil, nil
 }
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -23,26 +23,30 @@
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
 	"comfreycart.dev/comfreycart/internal/system/shares"
 	"comfreycart.dev/comfreycart/internal/table"
-	"github.com/rs/zerolog"
 )
 
 // Injectors from wire.go:
 
-// New puts a node together; Run starts it.
-func New(c *config.Node, log zerolog.Logger) *Node {
+// New puts a node together; Run starts it. It fails if a certificate cannot be read.
+func New(c *config.Node, log BaseLog) (*Node, error) {
+	current := &settingsync.Current{}
+	logger := provideLog(log, current)
 	set := metric.NewSet()
 	boot := clock.Boot{}
-	current := &settingsync.Current{}
 	store := provideStore(c)
-	follower := provideFollower(c, boot, store, current, log, set)
+	follower := provideFollower(c, boot, store, current, logger, set)
 	manager := shares.New(boot)
 	self := provideSelf(c)
 	endpoints := table.NewEndpoints(boot)
 	members := table.NewMembers(boot, endpoints)
 	acceptor := provideAcceptor(c, store)
-	homesManager := homes.New(self, boot, members, current, acceptor, follower, log)
+	homesManager := homes.New(self, boot, members, current, acceptor, follower, logger)
 	source := provideSource(c)
-	client := peer.NewClient(boot, source)
+	tlsConfig, err := providePeerTLS(c, logger)
+	if err != nil {
+		return nil, err
+	}
+	client := peer.NewClient(boot, source, tlsConfig)
 	claimsManager := claims.New(self, boot, homesManager, client, current, set)
 	calls := table.NewCalls()
 	locals := table.NewLocals()
@@ -51,17 +55,18 @@
 	dispatcher := dispatch.New(self, boot, endpoints, client, server, set)
 	runner := claims.NewRunner(claimsManager, dispatcher)
 	gate := entry.New(boot, current, follower, manager, runner)
-	handler := caller.New(gate, set, log)
+	handler := caller.New(gate, set, logger)
 	backendHandler := provideBackend(c, boot, current, locals, server)
-	egressHandler := egress.New(boot, current, calls, runner, set, log)
+	egressHandler := egress.New(boot, current, calls, runner, set, logger)
 	nodeStatus := provideStatus(self, current, follower, members)
-	adminHandler := provideAdmin(c, current, acceptor, nodeStatus, log)
+	adminHandler := provideAdmin(c, current, acceptor, nodeStatus, logger)
 	options := provideMembershipOptions(c, self)
-	membershipManager := membership.New(options, boot, members, locals, client, store, log)
-	peerServer := peer.NewServer(self, boot, log, server, fenceTable, membershipManager, follower, manager, claimsManager)
+	transport := membership.NewTransport(client)
+	membershipManager := membership.New(options, boot, members, endpoints, locals, transport, store, set, logger)
+	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, follower, manager, claimsManager)
 	node := &Node{
 		Config:     c,
-		Log:        log,
+		Log:        logger,
 		Metric:     set,
 		Caller:     handler,
 		Backend:    backendHandler,
@@ -76,5 +81,5 @@
 		Server:     server,
 		Claims:     claimsManager,
 	}
-	return node
+	return node, nil
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -4,11 +4,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/api/admin"
@@ -43,6 +46,21 @@
 	return &Client{base: base, token: token, http: &http.Client{Timeout: timeout}}
 }
 
+// Trust makes the client accept servers whose certificate the authority in the PEM
+// file signed. It must be called before the first request.
+func (c *Client) Trust(file string) error {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return fmt.Errorf("%s holds no certificate", file)
+	}
+	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}}
+	return nil
+}
+
 // Change says under which conditions a change is to be made; both parts are optional.
 type Change struct {
 	// ID makes resubmissions one change.
@@ -79,6 +97,31 @@
 	return a, err
 }
 
+// Item returns one item of a team's subtree and its ETag.
+func (c *Client) Item(ctx context.Context, team, section, name string) (json.RawMessage, string, error) {
+	var raw json.RawMessage
+	tag, err := c.do(ctx, http.MethodGet, itemPath(team, section, name), Change{}, nil, &raw)
+	return raw, tag, err
+}
+
+// PutItem adds or replaces one item, given as JSON.
+func (c *Client) PutItem(ctx context.Context, team, section, name string, item json.RawMessage, ch Change) (admin.Accepted, error) {
+	var a admin.Accepted
+	_, err := c.do(ctx, http.MethodPut, itemPath(team, section, name), ch, item, &a)
+	return a, err
+}
+
+// DeleteItem removes one item.
+func (c *Client) DeleteItem(ctx context.Context, team, section, name string, ch Change) (admin.Accepted, error) {
+	var a admin.Accepted
+	_, err := c.do(ctx, http.MethodDelete, itemPath(team, section, name), ch, nil, &a)
+	return a, err
+}
+
+func itemPath(team, section, name string) string {
+	return "/admin/v1/settings/" + url.PathEscape(team) + "/" + url.PathEscape(section) + "/" + url.PathEscape(name)
+}
+
 // Grant makes a new key for an account.
 func (c *Client) Grant(ctx context.Context, team, account, note string, ch Change) (admin.Accepted, error) {
 	var a admin.Accepted
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/netip"
 	"time"
@@ -34,6 +35,7 @@
 type Client struct {
 	clock  clock.Clock
 	dialer *net.Dialer
+	tls    *tls.Config
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 }
 
@@ -41,13 +43,13 @@
 // leaves it to the system.
 type Source netip.Addr
 
-// NewClient returns a client without connections.
-func NewClient(c clock.Clock, source Source) *Client {
+// NewClient returns a client without connections; secure is nil for plain TCP.
+func NewClient(c clock.Clock, source Source, secure *tls.Config) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	if ip := netip.Addr(source); ip.IsValid() && !ip.IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))
 	}
-	return &Client{clock: c, dialer: dialer, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+	return &Client{clock: c, dialer: dialer, tls: secure, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  idleExpiry,
 		Capacity:    idleInAll,
 		KeyCapacity: idlePerPeer,
@@ -80,9 +82,21 @@
 	return r
 }
 
-// Fence reports whether a call had not started at e's node and now never will.
+// Fence reports whether a call had not started at e's node and now never will. It
+// asks a second time on a new connection, since what cut the call may have closed the
+// idle ones too.
 func (c *Client) Fence(ctx context.Context, e *table.Endpoint, id call.ID) bool {
-	reply, err := c.To(ctx, e.Address).Fence(ctx, &peerpb.FenceRequest{Id: id[:], Incarnation: e.Incarnation})
+	req := &peerpb.FenceRequest{Id: id[:], Incarnation: e.Incarnation}
+	reply, err := c.To(ctx, e.Address).Fence(ctx, req)
+	if err == nil || ctx.Err() != nil {
+		return err == nil && reply.NotStarted
+	}
+	conn, err := c.dial(ctx, e.Address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	reply, err = peerpb.NewDRPCPeerClient(conn).Fence(ctx, req)
 	return err == nil && reply.NotStarted
 }
 
@@ -130,6 +144,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.tls != nil {
+		secured := tls.Client(raw, c.tls)
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		raw = secured
+	}
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/hex"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"math"
 	"regexp"
@@ -27,15 +25,6 @@
 	return f.Path + ": " + f.Problem
 }
 
-func decodeFault(err error) *Fault {
-	var te *json.UnmarshalTypeError
-	if errors.As(err, &te) {
-		path := "/" + strings.ReplaceAll(te.Field, ".", "/")
-		return &Fault{Path: path, Problem: fmt.Sprintf("got a JSON %s, want %s", te.Value, te.Type)}
-	}
-	return &Fault{Problem: err.Error()}
-}
-
 // Bounds of settings.
 const (
 	maxRate       = 1e9
@@ -186,6 +175,9 @@
 	if !strings.HasPrefix(r.Prefix, "/") || strings.ContainsAny(r.Prefix, "?#") {
 		c.fail(path+"/prefix", "%q: want a path that begins with '/'", r.Prefix)
 	}
+	if len(r.Prefix) > 1 && strings.HasSuffix(r.Prefix, "/") {
+		c.fail(path+"/prefix", "%q: must not end with '/'", r.Prefix)
+	}
 	if _, ok := c.services[r.Service]; !ok {
 		c.fail(path+"/service", "there is no service %q", r.Service)
 	}
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -56,6 +56,7 @@
 	ran := false
 	tried := map[string]bool{}
 	left := c.Allowance
+	moves := 0
 	for {
 		e := d.pick(c.Service, tried)
 		if e == nil {
@@ -69,6 +70,11 @@
 		ran = ran || mayHaveRun(&last)
 		left = last.Unused
 		reason, again := again(ctx, c, &last)
+		if again && moves < maxMoves && moved(&last) {
+			moves++
+			d.metric.Retried(reason)
+			continue
+		}
 		if !again || left == 0 {
 			return last
 		}
@@ -100,6 +106,12 @@
 	if r.Failure != nil && r.Failure.Reason == call.PeerLost {
 		d.settle(ctx, e, &attempt, &r)
 	}
+	if r.Failure != nil && r.Failure.Reason == call.Fenced {
+		r.Unused = left
+	}
+	if r.Failure != nil && r.Failure.Reason == call.Draining {
+		d.endpoints.Rest(e)
+	}
 	if r.Feedback != nil {
 		e.SetFeedback(r.Feedback)
 	}
