--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -116,7 +116,7 @@
 	if r.Failure != nil && r.Failure.Reason == call.PeerLost {
 		d.settle(ctx, e, &attempt, &r)
 	}
-	if r.Failure != nil && r.Failure.Reason == call.Fenced {
+	if r.Failure != nil && r.Failure.Reason == call.Fenced && r.Failure.Outcome == call.NotRun {
 		r.Unused = left
 	}
 	if r.Failure != nil && r.Failure.Reason == call.Draining {
--- a/test/script/once_test.go
+++ b/test/script/once_test.go
@@ -37,7 +37,7 @@
 //	raw NODE TEXT [cut]  send raw bytes to the caller listener and print the answer
 var onceCommands = map[string]command{
 	"storm": stormCmd, "endstorm": endStormCmd, "subcall": subCallCmd,
-	"handle": handleCmd, "sent": sentCmd, "raw": rawCmd, "crash": killCmd, "planned": stopCmd,
+	"handle": handleCmd, "sent": sentCmd, "raw": rawCmd,
 	"again": againCmd, "mixed": mixedCmd, "escape": escapeCmd,
 }
 
