--- a/internal/experiment/callers.go
+++ b/internal/experiment/callers.go
@@ -105,7 +105,7 @@
 		return
 	}
 	if w.policy.shed && !n.routes[q.route.name].Admit(w.now, q.route.priority, r.account, w.rnd.Float64()) {
-		w.result.shedEntry(q.route.priority)
+		w.result.shedEntry(q)
 		q.back(r, result{notRun: true, overloaded: true})
 		return
 	}
--- a/internal/experiment/choose.go
+++ b/internal/experiment/choose.go
@@ -60,3 +60,47 @@
 	}
 	return found
 }
+
+// chooseLottery draws by free places, among near endpoints as long as one has any.
+func chooseLottery(now clock.Time, n *node, views, tried []*view, rnd *rand.Rand) *view {
+	near := func(v *view) bool { return v.In(n.domain) }
+	if v := lottery(now, views, tried, rnd, near); v != nil {
+		return v
+	}
+	any := func(*view) bool { return true }
+	if v := lottery(now, views, tried, rnd, any); v != nil {
+		return v
+	}
+	return drawFrom(views, tried, rnd, any)
+}
+
+// lottery returns nil if no endpoint that fits has a free place.
+func lottery(now clock.Time, views, tried []*view, rnd *rand.Rand, fits func(*view) bool) *view {
+	var found *view
+	total := 0.0
+	for _, v := range views {
+		if slices.Contains(tried, v) || !fits(v) || v.load.Ejected(now) {
+			continue
+		}
+		free := max(0, 1-v.load.PerPlace(now)) * float64(v.endpoint.slots)
+		total += free
+		if free > 0 && rnd.Float64()*total < free {
+			found = v
+		}
+	}
+	return found
+}
+
+// chooseLeast takes the endpoint with the least load, near or far.
+func chooseLeast(now clock.Time, _ *node, views, tried []*view, _ *rand.Rand) *view {
+	var found *view
+	for _, v := range views {
+		if slices.Contains(tried, v) || v.load.Ejected(now) {
+			continue
+		}
+		if found == nil || v.load.PerPlace(now) < found.load.PerPlace(now) {
+			found = v
+		}
+	}
+	return found
+}
