--- /dev/null
+++ b/internal/decide/admission/admission_test.go
@@ -0,0 +1,77 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/decide/limit"
+	"comfreycart.dev/comfreycart/internal/decide/queue"
+)
+
+const second = clock.Time(time.Second)
+
+func arriving(p call.Priority, deadline clock.Time) *queue.Item {
+	return &queue.Item{Priority: p, Account: "a", Deadline: deadline}
+}
+
+func TestCriticalEvictsLookup(t *testing.T) {
+	c := New(1)
+	offer := func(p call.Priority) (Verdict, *queue.Item) { return c.Offer(1, arriving(p, second)) }
+	v, _ := offer(call.Normal)
+	require.Equal(t, Run, v)
+	for range queuePerSlot {
+		v, _ = offer(call.Normal)
+		require.Equal(t, Wait, v)
+	}
+	v, _ = offer(call.Normal)
+	require.Equal(t, Refused, v)
+	v, evicted := offer(call.Critical)
+	require.Equal(t, Wait, v)
+	require.Equal(t, call.Normal, evicted.Priority)
+	c.Done(2, 1, limit.Ran)
+	it, ok := c.Next(2)
+	require.True(t, ok)
+	require.Equal(t, call.Critical, it.Priority)
+}
+
+func TestLateCallsNeverRun(t *testing.T) {
+	c := New(2)
+	v, _ := c.Offer(2, arriving(call.Critical, 1))
+	require.Equal(t, Late, v)
+	c.Offer(2, arriving(call.Normal, second))
+	c.Done(2, 100*time.Millisecond, limit.Ran)
+	c.Offer(2, arriving(call.Normal, second))
+	v, _ = c.Offer(2, arriving(call.Normal, clock.Time(10*time.Millisecond)))
+	require.Equal(t, Late, v, "the service time is known to be longer than what is left")
+}
+
+// overload offers far more than runs, for a time.
+func overload(c *Controller, from, to clock.Time) {
+	for now := from; now < to; now = now.Add(time.Millisecond) {
+		c.Offer(now, arriving(call.Normal, now+second))
+		if int64(now)%int64(20*time.Millisecond) == 0 {
+			c.Done(now, 20*time.Millisecond, limit.Ran)
+			for it, _ := c.Next(now); it != nil; it, _ = c.Next(now) {
+			}
+		}
+	}
+}
+
+func TestThresholdRisesAndOpensInQuiet(t *testing.T) {
+	c := New(4)
+	overload(c, 0, second)
+	f := c.Feedback(second)
+	require.Equal(t, call.Normal, f.Threshold, "never above all that arrives")
+	require.Less(t, f.ShareMilli, uint32(500))
+	for it, _ := c.Next(second); it != nil || c.inFlight > 0; it, _ = c.Next(second) {
+		c.Done(second, 20*time.Millisecond, limit.Ran)
+	}
+	// The target: within two seconds after the overload's end.
+	f = c.Feedback(3 * second)
+	f = c.Feedback(3*second + clock.Time(maxWindow))
+	require.Equal(t, call.Feedback{Threshold: call.Low, ShareMilli: 1000, Limit: 4}, f)
+}
