A new home of claims waits for the hand-over; the old one stops before it leaves

Change: the leaving node opens its books, stops acting, and only then leaves; a new home that got nothing waits 4.2 s from when it was named, as long as before.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -32,9 +32,10 @@
 	n.leaving.Store(true)
 	n.Server.Drain()
 	notice := time.After(min(leaveNotice, bound/noticeParts))
+	claimed := n.Claims.Leave()
 	n.Homes.Leave()
 	n.Membership.Leave(finish)
-	n.Claims.HandOver(finish)
+	n.Claims.HandOver(finish, claimed)
 	<-notice
 
 	n.callers.finish(finish)
--- a/internal/system/claims/claims.go
+++ b/internal/system/claims/claims.go
@@ -38,6 +38,8 @@
 	Mine(class string, slot int) bool
 	// Named reports whether this node is the owner, be the owner before still acting.
 	Named(class string, slot int) bool
+	// NamedFor is how long this node has been the owner, to its knowledge.
+	NamedFor(class string, slot int) time.Duration
 	// Alone reports whether no other node could own slots.
 	Alone() bool
 }
--- a/internal/system/claims/claims_test.go
+++ b/internal/system/claims/claims_test.go
@@ -39,6 +39,8 @@
 
 func (f *fleet) Alone() bool { return false }
 
+func (f *fleet) NamedFor(string, int) time.Duration { return time.Hour }
+
 // place is the fleet as one node sees it.
 type place struct {
 	*fleet
@@ -97,7 +99,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		f.managers[node].HandOver(context.Background())
+		f.managers[node].HandOver(context.Background(), f.managers[node].Leave())
 	}()
 	require.Eventually(t, func() bool {
 		s := &f.managers[node].shelf.slots[homes.Slots-1]
--- a/internal/system/claims/handover.go
+++ b/internal/system/claims/handover.go
@@ -14,7 +14,10 @@
 const (
 	// handOverTimeout bounds the hand-over in a planned stop.
 	handOverTimeout = 4 * time.Second
-	handOverPause   = 20 * time.Millisecond
+	// handOverWait is how long a new home waits for the claims of the one before, which
+	// may have left by plan, before it begins without them.
+	handOverWait  = handOverTimeout + 200*time.Millisecond
+	handOverPause = 20 * time.Millisecond
 	// partBytes and partRecords bound one message of a hand-over.
 	partBytes   = 4 << 20
 	partRecords = 10_000
@@ -49,17 +52,23 @@
 	done  chan struct{}
 }
 
-// HandOver waits in a planned stop until each slot of this node has its next home,
-// and gives it the claims.
-func (m *Manager) HandOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
+// Leave returns the slots that this node is the home of, with their books open. Call it
+// right before the node stops to act for its slots.
+func (m *Manager) Leave() []int {
 	var mine []int
 	for n := range homes.Slots {
 		if m.owns(n) {
 			mine = append(mine, n)
 		}
 	}
+	return mine
+}
+
+// HandOver waits in a planned stop until each of the slots that Leave returned has its
+// next home, and gives it the claims.
+func (m *Manager) HandOver(ctx context.Context, mine []int) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
 	for len(mine) > 0 && ctx.Err() == nil && !m.homes.Alone() {
 		var left []int
 		for _, n := range mine {
--- a/internal/system/claims/home.go
+++ b/internal/system/claims/home.go
@@ -136,6 +136,9 @@
 		return false
 	}
 	if s.book == nil || s.since != owner.Since {
+		if !owner.First && m.homes.NamedFor(homes.Claims, n) < handOverWait {
+			return false
+		}
 		s.replace(owner.Since, claim.NewBook(m.term(owner), m.shelf.budget), false)
 	}
 	return true
--- a/internal/system/homes/homes.go
+++ b/internal/system/homes/homes.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -77,6 +78,10 @@
 	fence    Fence
 	log      zerolog.Logger
 
+	mu sync.Mutex
+	// named is since when this node has owned its slots.
+	named map[slotKey]clock.Time
+
 	settled state
 	// leaving is set in a planned stop, before the others are told.
 	leaving atomic.Bool
@@ -86,6 +91,13 @@
 	empty map[string]clock.Time
 }
 
+// slotKey names one ownership of a slot.
+type slotKey struct {
+	class string
+	slot  int
+	since uint64
+}
+
 // state is what the owners follow from.
 type state struct{ members, version uint64 }
 
@@ -131,12 +143,46 @@
 // It may act only if the owner before has said that it stopped.
 func (m *Manager) Named(class string, slot int) bool {
 	home, ok := m.home(class, slot)
-	if !ok || home.Node != m.self.ID || home.Incarnation != m.self.Incarnation {
+	if !ok || home.Node != m.self.ID || home.Incarnation != m.self.Incarnation || m.leaving.Load() {
 		return false
 	}
 	return m.fence.Fresh() == nil
 }
 
+// NamedFor is how long the settings in force at this node have named it as the owner of
+// a slot.
+func (m *Manager) NamedFor(class string, slot int) time.Duration {
+	home, ok := m.home(class, slot)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since, noted := m.named[slotKey{class, slot, home.Since}]
+	if !ok || !noted {
+		return 0
+	}
+	return m.clock.Now().Sub(since)
+}
+
+// noteNamed remembers since when the settings name this node as an owner.
+func (m *Manager) noteNamed(h settings.Homes) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	named := map[slotKey]clock.Time{}
+	for class, slots := range h {
+		for slot, home := range slots {
+			if home.Node != m.self.ID || home.Incarnation != m.self.Incarnation {
+				continue
+			}
+			key := slotKey{class, slot, home.Since}
+			since, noted := m.named[key]
+			if !noted {
+				since = m.clock.Now()
+			}
+			named[key] = since
+		}
+	}
+	m.named = named
+}
+
 // Alone reports whether no other node could own slots.
 func (m *Manager) Alone() bool {
 	alive := newRoster(m.members.All()).eligible(Claims)
@@ -178,6 +224,7 @@
 	if now == m.settled {
 		return
 	}
+	m.noteNamed(v.Tree.Homes)
 	if m.reconcile(ctx, v) {
 		m.settled = now
 	}
