--- a/internal/decide/gossip/machine.go
+++ b/internal/decide/gossip/machine.go
@@ -96,6 +96,9 @@
 // Gone is the number of records of dead and left members.
 func (m *Machine) Gone() int { return len(m.gone) }
 
+// Queued is the number of changes that this node still passes on.
+func (m *Machine) Queued() int { return m.queue.len() }
+
 // Health is 0 while probes are answered and grows while they are not, up to a bound.
 func (m *Machine) Health() int { return m.health }
 
--- a/internal/decide/gossip/machine_test.go
+++ b/internal/decide/gossip/machine_test.go
@@ -256,3 +256,30 @@
 	r, _ := s.nodes[0].members.Get(simID(2))
 	require.Equal(t, table.Suspect, r.State)
 }
+
+// A node that was replaced by another at its address, or moved to another address,
+// is found out by who answers.
+func TestReplacedNodes(t *testing.T) {
+	s := newSim(13, 5)
+	for range 40 {
+		s.step()
+	}
+	old, replaced := s.nodes[3], &simNode{index: 3}
+	old.running = false
+	replaced.members = table.NewMembers(s.clock, table.NewEndpoints(s.clock))
+	replaced.machine = New(Config{
+		ID: "other", Incarnation: 99, Address: simAddress(3), Domain: "d", Contacts: []string{simAddress(0)},
+	}, s.clock, replaced.members, s.rng)
+	replaced.running = true
+	s.nodes = append(s.nodes, replaced)
+	s.byAddress[simAddress(3)] = replaced
+	for range healBound / Period {
+		s.step()
+	}
+	for _, n := range s.nodes[:3] {
+		gone, _ := n.members.Get(simID(3))
+		require.Equal(t, table.Dead, gone.State)
+		taken, _ := n.members.Get("other")
+		require.Equal(t, table.Alive, taken.State)
+	}
+}
--- a/internal/decide/gossip/queue.go
+++ b/internal/decide/gossip/queue.go
@@ -7,7 +7,7 @@
 
 // resendFactor times the logarithm of the fleet's size is how often one node passes
 // on one change.
-const resendFactor = 2
+const resendFactor = 1
 
 // queue holds the changes that this node still passes on: those sent least often
 // first, and among these the most recent.
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -84,6 +84,7 @@
 	set.Gauge("comfreycart_members", read((*gossip.Machine).Live), "state", "usable")
 	set.Gauge("comfreycart_members", read((*gossip.Machine).Suspects), "state", "suspect")
 	set.Gauge("comfreycart_members", read((*gossip.Machine).Gone), "state", "gone")
+	set.Gauge("comfreycart_membership_queued_changes", read((*gossip.Machine).Queued))
 	set.Gauge("comfreycart_membership_missed_answers", read((*gossip.Machine).Health))
 }
 
