After a cut nobody is killed by what the other side believed

Cause: when two parts of a fleet met again, each took over that the other's members were dead, though they talked to each other. Ruled out: trusting only direct contact, which is rare in a large fleet. Change: a member that others hold for dead is suspected and this node's own time decides; while many are suspected at once the time is up to five times as long. Conclusion: slower but harmless, since nothing is lost meanwhile.

--- a/internal/decide/gossip/bench_test.go
+++ b/internal/decide/gossip/bench_test.go
@@ -96,9 +96,12 @@
 				}
 				s.heal()
 				begin, bytes := s.clock.Now(), s.bytes
+				least := 1.0
 				for s.disagreement() != "" {
 					s.step()
+					least = min(least, s.leastLive())
 				}
+				b.ReportMetric(least, "least-live/before")
 				took := s.clock.Now().Sub(begin)
 				b.ReportMetric(took.Seconds(), "heal-s")
 				b.ReportMetric(float64(s.bytes-bytes)/took.Seconds()/float64(n), "sent-bytes/s/node")
@@ -107,6 +110,17 @@
 	}
 }
 
+// leastLive is the smallest part of the larger side that a node of it holds for usable.
+func (s *sim) leastLive() float64 {
+	least, larger := len(s.nodes), len(s.nodes)-len(s.nodes)/5
+	for i, x := range s.nodes {
+		if i%5 < 4 {
+			least = min(least, x.machine.Live())
+		}
+	}
+	return float64(least) / float64(larger)
+}
+
 // rumor simulates only the spread of changes, for sizes at which the whole tables of
 // all nodes do not fit here. Messages take up to 100 ms; a change is changeBytes long.
 type rumor struct {
--- a/internal/decide/gossip/config.go
+++ b/internal/decide/gossip/config.go
@@ -60,6 +60,11 @@
 	maxContacts = 64
 	// healthMax bounds how much a node that misses answers itself doubts its own link.
 	healthMax = 8
+	// crowdBegins is how many suspects at once are usual; above it, suspicion lasts
+	// longer by a step for each 1/crowdScale of the fleet, up to crowdMax steps.
+	crowdBegins = 8
+	crowdScale  = 50
+	crowdMax    = 4
 	// recordBytes, goneBytes and endpointBytes are sizes of records without their
 	// strings.
 	recordBytes   = 32
--- a/internal/decide/gossip/machine.go
+++ b/internal/decide/gossip/machine.go
@@ -26,10 +26,11 @@
 	self     table.Member
 	contacts []string
 
-	live     *order
-	dead     *order
-	queue    *queue
-	digest   digest
+	live   *order
+	dead   *order
+	queue  *queue
+	digest digest
+	// suspects holds since when members are suspected.
 	suspects map[string]clock.Time
 	// gone holds when dead and left members' records came to be; Left ones never return.
 	gone map[string]clock.Time
@@ -134,11 +135,33 @@
 	if !known && m.now().Sub(r.Changed) > KeepGone && !r.Usable() {
 		return
 	}
-	if r, ok := m.complete(r, old, known); ok && m.members.Merge(r) {
-		m.index(old, r, known)
-		if how == delta || known {
-			m.spread(r.ID)
-		}
+	if r.State == table.Dead && known && old.Usable() && r.Incarnation == old.Incarnation {
+		m.doubt(old)
+		return
+	}
+	m.apply(m.complete(r, old, known), how)
+}
+
+// doubt suspects a member that others hold for dead. This node's own time decides, so
+// that what one side of a cut held for dead does not kill it on the other.
+func (m *Machine) doubt(r table.Member) {
+	if r.State != table.Alive {
+		return
+	}
+	r.State = table.Suspect
+	r.Changed = 0
+	m.apply(r, delta)
+}
+
+// apply merges a record and keeps what follows from it.
+func (m *Machine) apply(r table.Member, how source) {
+	old, known := m.members.Get(r.ID)
+	if !m.members.Merge(r) {
+		return
+	}
+	m.index(old, r, known)
+	if how == delta || known {
+		m.spread(r.ID)
 	}
 }
 
@@ -150,20 +173,20 @@
 	comparison source = false
 )
 
-// complete fills in what the records of dead members are sent without.
-func (m *Machine) complete(r, old table.Member, known bool) (table.Member, bool) {
-	if r.Usable() {
-		r.Changed = 0
-		return r, true
-	}
-	if r.State == table.Left {
+// complete fills in what the records of dead members are sent without, and leaves out
+// what those of left ones need no more.
+func (m *Machine) complete(r, old table.Member, known bool) table.Member {
+	switch r.State {
+	case table.Left:
 		r.Address, r.Endpoints = "", nil
-		return r, true
-	}
-	if known && old.Incarnation == r.Incarnation {
-		r.Address, r.Domain, r.Endpoints = old.Address, old.Domain, old.Endpoints
+	case table.Dead:
+		if known && old.Incarnation == r.Incarnation {
+			r.Address, r.Domain, r.Endpoints = old.Address, old.Domain, old.Endpoints
+		}
+	default:
+		r.Changed = 0
 	}
-	return r, true
+	return r
 }
 
 // index keeps what the machine derives from the table.
@@ -182,7 +205,7 @@
 		m.live.add(r.ID)
 	case table.Suspect:
 		m.live.add(r.ID)
-		m.suspects[r.ID] = m.now().Add(suspicionTime(m.Live(), m.health))
+		m.suspects[r.ID] = m.now()
 	case table.Dead:
 		m.dead.add(r.ID)
 		m.gone[r.ID] = r.Changed
--- a/internal/decide/gossip/machine_test.go
+++ b/internal/decide/gossip/machine_test.go
@@ -283,3 +283,24 @@
 		require.Equal(t, table.Alive, taken.State)
 	}
 }
+
+// When two parts of a fleet that held each other for dead meet again, what one side
+// believed must not take the other side's members from each other.
+func TestHealingKillsNobody(t *testing.T) {
+	s := newSim(14, 100)
+	for s.disagreement() != "" {
+		s.step()
+	}
+	for i, x := range s.nodes {
+		x.side = i % 5 / 4
+	}
+	for s.nodes[0].machine.Gone() < 20 || s.nodes[4].machine.Gone() < 80 {
+		s.step()
+	}
+	s.heal()
+	for range healBound / Period {
+		s.step()
+		require.GreaterOrEqual(t, s.leastLive(), 0.9)
+	}
+	require.Empty(t, s.disagreement())
+}
--- a/internal/decide/gossip/round.go
+++ b/internal/decide/gossip/round.go
@@ -39,7 +39,7 @@
 func (m *Machine) excusePause(now clock.Time) {
 	if now.Sub(m.ticked) > pausedAfter {
 		for id := range m.suspects {
-			m.suspects[id] = now.Add(suspicionTime(m.Live(), m.health))
+			m.suspects[id] = now
 		}
 	}
 	m.ticked = now
@@ -47,18 +47,25 @@
 
 // bury marks suspects whose time is over as dead.
 func (m *Machine) bury(now clock.Time) {
-	for id, until := range m.suspects {
-		if now.Before(until) {
+	limit := suspicionTime(m.Live(), m.health+m.crowd())
+	for id, since := range m.suspects {
+		if now.Sub(since) < limit {
 			continue
 		}
 		if r, ok := m.members.Get(id); ok {
 			r.State = table.Dead
 			r.Changed = now
-			m.learn(r, delta)
+			m.apply(r, delta)
 		}
 	}
 }
 
+// crowd is 0 while few members are suspected and grows with their part of the fleet:
+// many at once may mean a cut, and many objections take their time to come.
+func (m *Machine) crowd() int {
+	return min(max(len(m.suspects)-crowdBegins, 0)*crowdScale/m.Live(), crowdMax)
+}
+
 func (m *Machine) target(id string) Target {
 	r, ok := m.members.Get(id)
 	if !ok {
@@ -145,13 +152,9 @@
 // Missed takes in that neither a probe nor its helpers reached the target.
 func (m *Machine) Missed(t Target) {
 	m.health = min(m.health+1, healthMax)
-	r, ok := m.members.Get(t.ID)
-	if !ok || r.State != table.Alive {
-		return
+	if r, ok := m.members.Get(t.ID); ok {
+		m.doubt(r)
 	}
-	r.State = table.Suspect
-	r.Changed = 0
-	m.learn(r, delta)
 }
 
 // Reached takes in that helpers reached a target which this node did not.
