--- a/internal/system/membership/fleet_test.go
+++ b/internal/system/membership/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -23,6 +24,7 @@
 
 // network carries messages between managers in one process and counts their bytes.
 type network struct {
+	mu       sync.RWMutex
 	managers map[string]*Manager
 	bytes    atomic.Int64
 }
@@ -43,7 +45,7 @@
 
 // Sync implements Transport.
 func (n *network) Sync(ctx context.Context, address string, req *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
-	m := n.managers[address]
+	m := n.at(address)
 	if m == nil {
 		return nil, errUnreachable
 	}
@@ -57,7 +59,7 @@
 
 // Probe implements Transport.
 func (n *network) Probe(ctx context.Context, address string, req *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
-	m := n.managers[address]
+	m := n.at(address)
 	if m == nil {
 		return nil, errUnreachable
 	}
@@ -84,22 +86,9 @@
 // startFleet runs n managers that know two contacts.
 func startFleet(ctx context.Context, n int) (*network, []instance) {
 	net := &network{managers: map[string]*Manager{}}
-	clk := clock.Boot{}
 	fleet := make([]instance, n)
 	for i := range fleet {
-		address := fmt.Sprintf("10.%d.%d.%d:7004", i%12, i/250, i%250)
-		endpoints := table.NewEndpoints(clk)
-		x := instance{members: table.NewMembers(clk, endpoints), locals: table.NewLocals()}
-		x.locals.Announce(table.Local{
-			Service: fmt.Sprintf("service-%03d", i%40), Address: "10.0.0.1:8000", Slots: 80, Connections: 600,
-			State: table.Ready, Heard: clk.Now().Add(time.Hour),
-		})
-		x.manager = New(Options{
-			Self:    dispatch.Self{ID: fmt.Sprintf("node-%05d", i), Domain: fmt.Sprintf("domain-%02d", i%12), Incarnation: uint64(time.Now().UnixNano())},
-			Address: address, Deployment: "d", Contacts: []string{"10.0.0.0:7004", "10.1.0.1:7004"},
-		}, clk, x.members, endpoints, x.locals, net, noStore{}, metric.NewSet(), zerolog.Nop())
-		net.managers[address] = x.manager
-		fleet[i] = x
+		fleet[i] = net.add(i)
 	}
 	for _, x := range fleet {
 		go x.manager.Run(ctx)
@@ -107,6 +96,32 @@
 	return net, fleet
 }
 
+// add makes an instance that does not run yet.
+func (n *network) add(i int) instance {
+	clk := clock.Boot{}
+	address := fmt.Sprintf("10.%d.%d.%d:7004", i%12, i/250, i%250)
+	endpoints := table.NewEndpoints(clk)
+	x := instance{members: table.NewMembers(clk, endpoints), locals: table.NewLocals()}
+	x.locals.Announce(table.Local{
+		Service: fmt.Sprintf("service-%03d", i%40), Address: "10.0.0.1:8000", Slots: 80, Connections: 600,
+		State: table.Ready, Heard: clk.Now().Add(time.Hour),
+	})
+	x.manager = New(Options{
+		Self:    dispatch.Self{ID: fmt.Sprintf("node-%05d", i), Domain: fmt.Sprintf("domain-%02d", i%12), Incarnation: uint64(time.Now().UnixNano())},
+		Address: address, Deployment: "d", Contacts: []string{"10.0.0.0:7004", "10.1.0.1:7004"},
+	}, clk, x.members, endpoints, x.locals, n, noStore{}, metric.NewSet(), zerolog.Nop())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.managers[address] = x.manager
+	return x
+}
+
+func (n *network) at(address string) *Manager {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.managers[address]
+}
+
 // until waits until check holds at all instances and returns how long that took.
 func until(fleet []instance, check func(*table.Members) bool) time.Duration {
 	begin := time.Now()
@@ -178,7 +193,19 @@
 		return ok && len(r.Endpoints) == 1 && r.Endpoints[0].State == table.Draining
 	})
 	time.Sleep(calm)
-	b.ReportMetric(joined.Seconds(), "join-s")
+	settle(fleet)
+
+	begin := time.Now()
+	x := net.add(n)
+	go x.manager.Run(ctx)
+	until(fleet, func(m *table.Members) bool {
+		r, ok := m.Get(fmt.Sprintf("node-%05d", n))
+		return ok && len(r.Endpoints) == 1
+	})
+	b.ReportMetric(time.Since(begin).Seconds(), "newcomer-known-s")
+	until([]instance{x}, func(m *table.Members) bool { return m.Len() == n+1 })
+	b.ReportMetric(time.Since(begin).Seconds(), "newcomer-knows-s")
+	b.ReportMetric(joined.Seconds(), "all-at-once-s")
 	b.ReportMetric(spread.Seconds(), "change-s")
 	b.ReportMetric(float64(net.bytes.Load()-bytes)/perNode, "change-bytes/s/node")
 }
