--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 
 	"comfreycart.dev/comfreycart/internal/api"
 	"comfreycart.dev/comfreycart/internal/api/admin"
@@ -22,6 +23,7 @@
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
+	"comfreycart.dev/comfreycart/internal/system/claims"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/system/homes"
 	"comfreycart.dev/comfreycart/internal/system/membership"
@@ -31,6 +33,8 @@
 
 const (
 	expiryInterval = 10 * time.Second
+	// maxConnections bounds the open connections of each listener.
+	maxConnections = 16384
 )
 
 // Node is one node. Its fields are provided by wire.
@@ -49,6 +53,7 @@
 	Homes      *homes.Manager
 	Fences     *fence.Table
 	Server     *serve.Server
+	Claims     *claims.Manager
 
 	// callers is the server of the callers' listener, servers those of all listeners.
 	callers *callerServer
@@ -80,6 +85,7 @@
 	if err != nil {
 		return trace.Wrap(err, "listening at /listen/peer")
 	}
+	peerListener = netutil.LimitListener(peerListener, maxConnections)
 	peerListener, err = n.secure("peer", peerListener, n.Config.TLS.Peer)
 	if err != nil {
 		return err
@@ -113,6 +119,7 @@
 		if err != nil {
 			return trace.Wrap(err, "listening at /listen/%s", x.name)
 		}
+		lis = netutil.LimitListener(lis, maxConnections)
 		if lis, err = n.secure(x.name, lis, x.files); err != nil {
 			return err
 		}
@@ -162,6 +169,7 @@
 			return
 		case <-tick.C:
 			n.Fences.Expire()
+			n.Claims.Expire()
 		}
 	}
 }
--- a/internal/system/serve/pool.go
+++ b/internal/system/serve/pool.go
@@ -39,6 +39,8 @@
 type pool struct {
 	address   string
 	transport *http.Transport
+	// names is set once the backend server named a call in its answer.
+	names atomic.Bool
 
 	mu   sync.Mutex
 	idle []*conn
@@ -53,7 +55,11 @@
 		}
 		return countingConn{c, ctx.Value(counterKey{}).(*atomic.Int64)}, nil
 	}
-	return &pool{address: address, transport: &http.Transport{DialContext: dial, DisableCompression: true}}
+	return &pool{address: address, transport: &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+	}}
 }
 
 // get returns an idle connection or dials one.
