--- a/internal/decide/gossip/digest.go
+++ b/internal/decide/gossip/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,7 +17,8 @@
 type digest struct {
 	buckets [Buckets]uint64
 	total   uint64
-	ids     [Buckets]map[string]bool
+	// ids holds each bucket's members in order, gone ones included.
+	ids [Buckets][]string
 }
 
 // bucketOf returns the bucket of a member.
@@ -37,17 +39,27 @@
 func (d *digest) update(old, m *table.Member) {
 	if old != nil {
 		d.toggle(old)
-		if m == nil {
-			delete(d.ids[bucketOf(old.ID)], old.ID)
-		}
 	}
 	if m != nil {
 		d.toggle(m)
-		b := bucketOf(m.ID)
-		if d.ids[b] == nil {
-			d.ids[b] = map[string]bool{}
-		}
-		d.ids[b][m.ID] = true
+	}
+	switch {
+	case old == nil && m != nil:
+		d.list(m.ID, true)
+	case old != nil && m == nil:
+		d.list(old.ID, false)
+	}
+}
+
+// list puts a member into its bucket or takes it out.
+func (d *digest) list(id string, in bool) {
+	ids := &d.ids[bucketOf(id)]
+	at, there := slices.BinarySearch(*ids, id)
+	switch {
+	case in && !there:
+		*ids = slices.Insert(*ids, at, id)
+	case !in && there:
+		*ids = slices.Delete(*ids, at, at+1)
 	}
 }
 
--- a/internal/decide/gossip/exchange.go
+++ b/internal/decide/gossip/exchange.go
@@ -104,7 +104,7 @@
 		if b < 0 || b >= Buckets {
 			continue
 		}
-		for id := range m.digest.ids[b] {
+		for _, id := range m.digest.ids[b] {
 			r, ok := m.members.Get(id)
 			old, known := theirs[id]
 			if !ok || known && !r.Newer(&old) {
@@ -137,7 +137,7 @@
 			return
 		}
 		out.Compared = append(out.Compared, b)
-		for id := range m.digest.ids[b] {
+		for _, id := range m.digest.ids[b] {
 			r, ok := m.members.Get(id)
 			if !ok {
 				continue
--- a/internal/decide/gossip/machine.go
+++ b/internal/decide/gossip/machine.go
@@ -248,10 +248,8 @@
 		return
 	}
 	m.swept = now
-	for id, since := range m.gone {
-		if now.Sub(since) > KeepGone {
-			m.forget(id)
-		}
+	for _, id := range since(m.gone, now.Add(-KeepGone)) {
+		m.forget(id)
 	}
 }
 
@@ -267,12 +265,8 @@
 // GoneFor returns the records of members that have been dead or left for at least
 // age. Its cost grows with the number of gone members.
 func (m *Machine) GoneFor(age time.Duration) []table.Member {
-	now := m.now()
 	var out []table.Member
-	for id, since := range m.gone {
-		if now.Sub(since) < age {
-			continue
-		}
+	for _, id := range since(m.gone, m.now().Add(-age)) {
 		if r, ok := m.members.Get(id); ok {
 			out = append(out, r)
 		}
--- a/internal/decide/gossip/round.go
+++ b/internal/decide/gossip/round.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/clock"
@@ -48,10 +49,7 @@
 // bury marks suspects whose time is over as dead.
 func (m *Machine) bury(now clock.Time) {
 	limit := suspicionTime(m.Live(), m.health+m.crowd())
-	for id, since := range m.suspects {
-		if now.Sub(since) < limit {
-			continue
-		}
+	for _, id := range since(m.suspects, now.Add(-limit)) {
 		if r, ok := m.members.Get(id); ok {
 			r.State = table.Dead
 			r.Changed = now
@@ -60,6 +58,18 @@
 	}
 }
 
+// since returns the members of a list that are on it since limit or longer, in order.
+func since(list map[string]clock.Time, limit clock.Time) []string {
+	var out []string
+	for id, at := range list {
+		if !limit.Before(at) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // crowd is 0 while few members are suspected and grows with their part of the fleet:
 // many at once may mean a cut, and many objections take their time to come.
 func (m *Machine) crowd() int {
