--- a/internal/decide/gossip/machine_test.go
+++ b/internal/decide/gossip/machine_test.go
@@ -256,3 +256,51 @@
 	r, _ := s.nodes[0].members.Get(simID(2))
 	require.Equal(t, table.Suspect, r.State)
 }
+
+// A node that was replaced by another at its address, or moved to another address,
+// is found out by who answers.
+func TestReplacedNodes(t *testing.T) {
+	s := newSim(13, 5)
+	for range 40 {
+		s.step()
+	}
+	old, replaced := s.nodes[3], &simNode{index: 3}
+	old.running = false
+	replaced.members = table.NewMembers(s.clock, table.NewEndpoints(s.clock))
+	replaced.machine = New(Config{
+		ID: "other", Incarnation: 99, Address: simAddress(3), Domain: "d", Contacts: []string{simAddress(0)},
+	}, s.clock, replaced.members, s.rng)
+	replaced.running = true
+	s.nodes = append(s.nodes, replaced)
+	s.byAddress[simAddress(3)] = replaced
+	for range healBound / Period {
+		s.step()
+	}
+	for _, n := range s.nodes[:3] {
+		gone, _ := n.members.Get(simID(3))
+		require.Equal(t, table.Dead, gone.State)
+		taken, _ := n.members.Get("other")
+		require.Equal(t, table.Alive, taken.State)
+	}
+}
+
+// When two parts of a fleet that held each other for dead meet again, what one side
+// believed must not take the other side's members from each other.
+func TestHealingKillsNobody(t *testing.T) {
+	s := newSim(14, 100)
+	for s.disagreement() != "" {
+		s.step()
+	}
+	for i, x := range s.nodes {
+		x.side = i % 5 / 4
+	}
+	for s.nodes[0].machine.Gone() < 20 || s.nodes[4].machine.Gone() < 80 {
+		s.step()
+	}
+	s.heal()
+	for range healBound / Period {
+		s.step()
+		require.GreaterOrEqual(t, s.leastLive(), 0.9)
+	}
+	require.Empty(t, s.disagreement())
+}
--- a/internal/decide/gossip/round.go
+++ b/internal/decide/gossip/round.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/clock"
@@ -39,7 +40,7 @@
 func (m *Machine) excusePause(now clock.Time) {
 	if now.Sub(m.ticked) > pausedAfter {
 		for id := range m.suspects {
-			m.suspects[id] = now.Add(suspicionTime(m.Live(), m.health))
+			m.suspects[id] = now
 		}
 	}
 	m.ticked = now
@@ -47,16 +48,32 @@
 
 // bury marks suspects whose time is over as dead.
 func (m *Machine) bury(now clock.Time) {
-	for id, until := range m.suspects {
-		if now.Before(until) {
-			continue
-		}
+	limit := suspicionTime(m.Live(), m.health+m.crowd())
+	for _, id := range since(m.suspects, now.Add(-limit)) {
 		if r, ok := m.members.Get(id); ok {
 			r.State = table.Dead
 			r.Changed = now
-			m.learn(r, delta)
+			m.apply(r, delta)
+		}
+	}
+}
+
+// since returns the members of a list that are on it since limit or longer, in order.
+func since(list map[string]clock.Time, limit clock.Time) []string {
+	var out []string
+	for id, at := range list {
+		if !limit.Before(at) {
+			out = append(out, id)
 		}
 	}
+	slices.Sort(out)
+	return out
+}
+
+// crowd is 0 while few members are suspected and grows with their part of the fleet:
+// many at once may mean a cut, and many objections take their time to come.
+func (m *Machine) crowd() int {
+	return min(max(len(m.suspects)-crowdBegins, 0)*crowdScale/m.Live(), crowdMax)
 }
 
 func (m *Machine) target(id string) Target {
@@ -145,13 +162,9 @@
 // Missed takes in that neither a probe nor its helpers reached the target.
 func (m *Machine) Missed(t Target) {
 	m.health = min(m.health+1, healthMax)
-	r, ok := m.members.Get(t.ID)
-	if !ok || r.State != table.Alive {
-		return
+	if r, ok := m.members.Get(t.ID); ok {
+		m.doubt(r)
 	}
-	r.State = table.Suspect
-	r.Changed = 0
-	m.learn(r, delta)
 }
 
 // Reached takes in that helpers reached a target which this node did not.
