Property test with members' views, and schedules that find more

Cause: the model took all members as known to all, and few schedules met owners that overlap. Change: views grow by pulls, an accepting node has completed a round, owners are two nodes, restarts are rarer.

--- a/internal/decide/evidence/evidence_test.go
+++ b/internal/decide/evidence/evidence_test.go
@@ -32,6 +32,7 @@
 			"poll": w.poll, "pull": w.pull, "round": w.round, "accept": w.accept,
 			"prompt poll": w.promptly(w.poll), "prompt pull": w.promptly(w.pull),
 			"prompt round": w.promptly(w.round), "prompt accept": w.promptly(w.accept),
+			"another accept": w.promptly(w.accept), "another round": w.promptly(w.round),
 			"deliver": w.deliver, "lose": w.lose, "pass": w.pass, "cut": w.cut,
 			"outage": w.outage, "restart": w.restart, "": w.check,
 		})
--- a/internal/decide/evidence/world_test.go
+++ b/internal/decide/evidence/world_test.go
@@ -1,6 +1,7 @@
 package evidence
 
 import (
+	"maps"
 	"time"
 
 	"pgregory.net/rapid"
@@ -17,6 +18,8 @@
 
 	// owners gives the owner of one slot at each version; index 0 is no owner.
 	owners []owner
+	// members is the number of members that each version was accepted among.
+	members []int
 	// accepted is when the operator got the answer for a version.
 	accepted map[uint64]time.Duration
 	nodes    []*node
@@ -36,7 +39,11 @@
 	origin      time.Duration
 	rate        float64
 	state       *State
-	highest     uint64
+	// view is the members that the node knows; it begins with itself alone.
+	view map[int]bool
+	// widest is the widest view of the last round that this incarnation completed.
+	widest  int
+	highest uint64
 	// change is the version that an operator at this node waits for.
 	change uint64
 	// cut holds the node's messages back.
@@ -61,19 +68,33 @@
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: time.Hour, accepted: map[uint64]time.Duration{}, owners: make([]owner, 1)}
+	w := &world{t: t, now: time.Hour, accepted: map[uint64]time.Duration{}, owners: make([]owner, 2)}
 	for i := range rapid.IntRange(3, 5).Draw(t, "nodes") {
 		n := &node{
 			index:  i,
 			origin: time.Duration(rapid.IntRange(1, 1000).Draw(t, "origin")) * time.Second,
 			rate:   rapid.SampledFrom([]float64{0.98, 1, 1.02}).Draw(t, "rate"),
 		}
-		n.state = New(w.clock(n))
+		w.start(n)
+		n.state.Install(1)
 		w.nodes = append(w.nodes, n)
 	}
+	for _, n := range w.nodes {
+		for i := range w.nodes {
+			n.view[i] = true
+		}
+	}
+	w.members = []int{0, len(w.nodes)}
 	return w
 }
 
+// start begins a node's incarnation, which knows nothing.
+func (w *world) start(n *node) {
+	n.highest, n.change, n.widest = 0, 0, 0
+	n.state = New(w.clock(n))
+	n.view = map[int]bool{n.index: true}
+}
+
 func (w *world) clock(n *node) clock.Time {
 	return clock.Time(n.origin + time.Duration(float64(w.now)*n.rate))
 }
@@ -139,10 +160,12 @@
 func (w *world) outage(*rapid.T) { w.down = !w.down }
 
 func (w *world) restart(t *rapid.T) {
+	if rapid.IntRange(0, 2).Draw(t, "restart") > 0 {
+		return
+	}
 	n := w.pick("restarted")
 	n.incarnation++
-	n.highest, n.change = 0, 0
-	n.state = New(w.clock(n))
+	w.start(n)
 }
 
 // poll reads the head row; the answer may come late.
@@ -171,6 +194,7 @@
 		w.later(a, b, func() {
 			a.state.Install(standing.Installed)
 			a.state.Take(standing, asked, w.clock(a))
+			maps.Copy(a.view, b.view)
 		})
 	})
 }
@@ -180,19 +204,22 @@
 
 func (w *world) gather(a *node) {
 	version, started := a.state.Installed(), w.clock(a)
-	r := NewRound(version, started, len(w.nodes), 0)
+	r := NewRound(version, started, len(a.view), w.members[version])
 	counted := map[int]bool{}
 	for _, b := range w.nodes {
+		if !a.view[b.index] {
+			continue
+		}
 		w.later(a, b, func() {
 			b.state.Install(version)
-			confirmed, known := b.state.Confirms(version), b.state.Known()
+			confirmed, known, widest := b.state.Confirms(version), b.state.Known(), len(b.view)
 			w.later(a, b, func() {
 				a.state.Learn(known)
 				if !confirmed || counted[b.index] {
 					return
 				}
 				counted[b.index] = true
-				r.Add(Tally{Members: 1, Confirmed: 1})
+				r.Add(Tally{Members: 1, Confirmed: 1, Widest: widest})
 				w.conclude(a, r)
 			})
 		})
@@ -206,23 +233,27 @@
 	}
 	a.state.Adopt(Majority, stamp)
 	a.state.Settle(stamp.Version, w.clock(a))
+	a.widest = r.Widest()
 	if a.change != 0 && a.state.Settled() >= a.change {
 		w.accepted[a.change] = w.now
 		a.change = 0
 	}
 }
 
-// accept moves the head on behalf of an operator, whose answer may be lost on the
-// way from the platform.
+// accept moves the head on behalf of an operator, at a node that has reached a
+// majority. The answer may be lost on the way from the platform.
 func (w *world) accept(*rapid.T) {
 	a := w.pick("acceptor")
-	asked, base, moved := w.clock(a), w.head(), false
+	if a.widest == 0 {
+		return
+	}
+	asked, base, moved, members := w.clock(a), w.head(), false, a.widest
 	w.later(a, a, func() {
 		if w.down || moved || w.head() != base {
 			return
 		}
 		moved = true
-		w.move()
+		w.move(members)
 		w.later(a, a, func() {
 			a.state.Install(base + 1)
 			a.state.Adopt(Platform, Stamp{base + 1, asked})
@@ -233,9 +264,10 @@
 }
 
 // move makes a new head, which may name another owner.
-func (w *world) move() {
+func (w *world) move(members int) {
+	w.members = append(w.members, members)
 	last := w.owners[len(w.owners)-1]
-	n := w.pick("owner")
+	n := w.nodes[rapid.IntRange(0, 1).Draw(w.t, "owner")]
 	next := owner{n.index, n.incarnation, w.head() + 1}
 	if last.since != 0 && last.node == next.node && last.incarnation == next.incarnation {
 		next.since = last.since
