--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,19 +7,23 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 
 	"comfreycart.dev/comfreycart/internal/api"
 	"comfreycart.dev/comfreycart/internal/api/admin"
 	"comfreycart.dev/comfreycart/internal/api/backend"
 	"comfreycart.dev/comfreycart/internal/api/caller"
 	"comfreycart.dev/comfreycart/internal/api/egress"
+	"comfreycart.dev/comfreycart/internal/certs"
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
+	"comfreycart.dev/comfreycart/internal/system/claims"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/system/homes"
 	"comfreycart.dev/comfreycart/internal/system/membership"
@@ -29,9 +33,8 @@
 
 const (
 	expiryInterval = 10 * time.Second
-	// leaveNotice is how long a leaving node still serves callers, so that they and
-	// the other nodes turn elsewhere first.
-	leaveNotice = 300 * time.Millisecond
+	// maxConnections bounds the open connections of each listener.
+	maxConnections = 16384
 )
 
 // Node is one node. Its fields are provided by wire.
@@ -50,8 +53,12 @@
 	Homes      *homes.Manager
 	Fences     *fence.Table
 	Server     *serve.Server
+	Claims     *claims.Manager
 
+	// callers is the server of the callers' listener, servers those of all listeners.
+	callers *callerServer
 	servers []*http.Server
+	leaving atomic.Bool
 	wg      sync.WaitGroup
 }
 
@@ -78,6 +85,11 @@
 	if err != nil {
 		return trace.Wrap(err, "listening at /listen/peer")
 	}
+	peerListener = netutil.LimitListener(peerListener, maxConnections)
+	peerListener, err = n.secure("peer", peerListener, n.Config.TLS.Peer)
+	if err != nil {
+		return err
+	}
 	n.spawn(func() { _ = n.PeerServer.Serve(ctx, peerListener) })
 	if err := n.listen(); err != nil {
 		return err
@@ -92,27 +104,50 @@
 func (n *Node) listen() error {
 	l := n.Config.Listen
 	listeners := []struct {
-		path, address string
+		name, address string
+		files         *certs.Files
 		handler       http.Handler
 	}{
-		{"/listen/caller", l.Caller, n.Caller},
-		{"/listen/backend", l.Backend, n.Backend.Routes()},
-		{"/listen/egress", l.Egress, n.Egress},
-		{"/listen/admin", l.Admin, n.Admin.Routes()},
-		{"/listen/metrics", l.Metrics, n.metrics()},
+		{"caller", l.Caller, n.Config.TLS.Caller, n.farewell(n.Caller)},
+		{"backend", l.Backend, nil, n.Backend.Routes()},
+		{"egress", l.Egress, nil, n.Egress},
+		{"admin", l.Admin, n.Config.TLS.Admin, n.Admin.Routes()},
+		{"metrics", l.Metrics, nil, n.metrics()},
 	}
 	for _, x := range listeners {
 		lis, err := net.Listen("tcp", x.address)
 		if err != nil {
-			return trace.Wrap(err, "listening at %s", x.path)
+			return trace.Wrap(err, "listening at /listen/%s", x.name)
+		}
+		lis = netutil.LimitListener(lis, maxConnections)
+		if lis, err = n.secure(x.name, lis, x.files); err != nil {
+			return err
 		}
 		server := api.NewServer(x.handler)
 		n.servers = append(n.servers, server)
+		if x.name == "caller" {
+			n.callers = newCallerServer(server, lis)
+			n.spawn(func() { n.callers.serve(n.Log) })
+			continue
+		}
 		n.spawn(func() { n.serve(server, lis) })
 	}
 	return nil
 }
 
+// secure makes a listener speak TLS where it has a certificate.
+func (n *Node) secure(name string, lis net.Listener, files *certs.Files) (net.Listener, error) {
+	if files == nil {
+		return lis, nil
+	}
+	source, err := certs.NewSource(*files, n.Log)
+	if err != nil {
+		return nil, trace.Wrap(err, "/tls/%s", name)
+	}
+	refused := n.Metric.Counter("comfreycart_tls_refused_total", "listener", name)
+	return certs.NewListener(lis, source, n.Log, refused.Inc), nil
+}
+
 func (n *Node) serve(s *http.Server, lis net.Listener) {
 	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
 		n.Log.Error().Err(err).Stringer("address", lis.Addr()).Msg("listener ended")
@@ -134,24 +169,11 @@
 			return
 		case <-tick.C:
 			n.Fences.Expire()
+			n.Claims.Expire()
 		}
 	}
 }
 
-// drain is the planned stop, within the configured bound.
-func (n *Node) drain() {
-	ctx, cancel := context.WithTimeout(context.Background(), n.Config.Drain())
-	defer cancel()
-	n.Server.Drain()
-	n.Membership.Leave(ctx)
-	time.Sleep(leaveNotice)
-	n.Server.Idle(ctx)
-	for _, s := range n.servers {
-		_ = s.Shutdown(ctx)
-	}
-	_ = n.PeerClient.Close()
-}
-
 func (n *Node) closeListeners() {
 	for _, s := range n.servers {
 		_ = s.Close()
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -24,25 +24,29 @@
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
-// New puts a node together; Run starts it.
-func New(c *config.Node, log BaseLog) *Node {
+// New puts a node together; Run starts it. It fails if a certificate cannot be read.
+func New(c *config.Node, log BaseLog) (*Node, error) {
 	wire.Build(
 		wire.Struct(new(Node), "Config", "Log", "Metric", "Caller", "Backend", "Egress", "Admin",
-			"PeerServer", "PeerClient", "Follower", "Membership", "Homes", "Fences", "Server"),
-		provideLog, provideSelf, provideSource, provideStore, provideFollowerOptions, provideFollower, provideAcceptor, provideMembershipOptions,
+			"PeerServer", "PeerClient", "Follower", "Membership", "Homes", "Fences", "Server", "Claims"),
+		provideLog, provideSelf, provideSource, providePeerTLS, provideStore, provideFollowerOptions, provideFollower, provideAcceptor, provideMembershipOptions,
 		provideBackend, provideAdmin, provideStatus,
 		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
 		wire.Struct(new(settingsync.Current)),
 		metric.NewSet,
 		table.NewCalls, table.NewLocals, table.NewMembers, table.NewEndpoints,
-		homes.New, fence.New, serve.New, dispatch.New, membership.New, shares.New, claims.New,
+		homes.New, fence.New, serve.New, dispatch.New, membership.New, membership.NewTransport, shares.New, claims.New, claims.NewRunner,
 		entry.New, caller.New, egress.New,
 		peer.NewClient, peer.NewServer,
 		wire.Bind(new(admin.StatusSource), new(*status)),
 		wire.Bind(new(entry.Views), new(*settingsync.Current)),
 		wire.Bind(new(entry.Freshness), new(*settingsync.Follower)),
 		wire.Bind(new(entry.Shares), new(*shares.Manager)),
-		wire.Bind(new(entry.Dispatcher), new(*dispatch.Dispatcher)),
+		wire.Bind(new(entry.Dispatcher), new(*claims.Runner)),
+		wire.Bind(new(claims.Dispatcher), new(*dispatch.Dispatcher)),
+		wire.Bind(new(claims.Homes), new(*homes.Manager)),
+		wire.Bind(new(claims.Peers), new(*peer.Client)),
+		wire.Bind(new(claims.Views), new(*settingsync.Current)),
 		wire.Bind(new(homes.Fence), new(*settingsync.Follower)),
 		wire.Bind(new(dispatch.Peers), new(*peer.Client)),
 		wire.Bind(new(dispatch.Local), new(*serve.Server)),
@@ -51,5 +55,5 @@
 		wire.Bind(new(peer.ShareHome), new(*shares.Manager)),
 		wire.Bind(new(peer.ClaimHome), new(*claims.Manager)),
 	)
-	return nil
+	return nil, nil
 }
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -27,8 +27,8 @@
 
 // Injectors from wire.go:
 
-// New puts a node together; Run starts it.
-func New(c *config.Node, log BaseLog) *Node {
+// New puts a node together; Run starts it. It fails if a certificate cannot be read.
+func New(c *config.Node, log BaseLog) (*Node, error) {
 	current := &settingsync.Current{}
 	logger := provideLog(log, current)
 	set := metric.NewSet()
@@ -38,27 +38,33 @@
 	endpoints := table.NewEndpoints(boot)
 	members := table.NewMembers(boot, endpoints)
 	source := provideSource(c)
-	client := peer.NewClient(boot, source)
+	tlsConfig, err := providePeerTLS(c, logger)
+	if err != nil {
+		return nil, err
+	}
+	client := peer.NewClient(boot, source, tlsConfig)
 	follower := provideFollower(options, boot, store, current, members, client, logger, set)
 	manager := shares.New(boot)
 	self := provideSelf(c)
+	acceptor := provideAcceptor(c, boot, store, follower)
+	homesManager := homes.New(self, boot, members, current, acceptor, follower, logger)
+	claimsManager := claims.New(self, boot, homesManager, client, current, set)
 	calls := table.NewCalls()
 	locals := table.NewLocals()
 	fenceTable := fence.New(boot)
 	server := serve.New(boot, calls, locals, fenceTable, set)
 	dispatcher := dispatch.New(self, boot, endpoints, client, server, set)
-	gate := entry.New(boot, current, follower, manager, dispatcher)
+	runner := claims.NewRunner(claimsManager, dispatcher)
+	gate := entry.New(boot, current, follower, manager, runner)
 	handler := caller.New(gate, set, logger)
 	backendHandler := provideBackend(c, boot, current, locals, server)
-	egressHandler := egress.New(boot, current, calls, dispatcher, set, logger)
-	acceptor := provideAcceptor(c, boot, store, follower)
+	egressHandler := egress.New(boot, current, calls, runner, set, logger)
 	nodeStatus := provideStatus(self, current, follower, members)
 	adminHandler := provideAdmin(c, current, acceptor, nodeStatus, logger)
 	membershipOptions := provideMembershipOptions(c, self)
-	membershipManager := membership.New(membershipOptions, boot, members, locals, client, store, logger)
-	claimsManager := claims.New()
+	transport := membership.NewTransport(client)
+	membershipManager := membership.New(membershipOptions, boot, members, endpoints, locals, transport, store, set, logger)
 	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, follower, manager, claimsManager)
-	homesManager := homes.New(self, boot, members, current, acceptor, follower, logger)
 	node := &Node{
 		Config:     c,
 		Log:        logger,
@@ -74,6 +80,7 @@
 		Homes:      homesManager,
 		Fences:     fenceTable,
 		Server:     server,
+		Claims:     claimsManager,
 	}
-	return node
+	return node, nil
 }
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -53,8 +53,10 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline.Sub(d.clock.Now()))
 	defer cancel()
 	var last call.Result
+	ran := false
 	tried := map[string]bool{}
 	left := c.Allowance
+	moves := 0
 	for {
 		e := d.pick(c.Service, tried)
 		if e == nil {
@@ -62,8 +64,17 @@
 		}
 		tried[e.Node] = true
 		last = d.send(ctx, e, c, left)
+		if ran {
+			last = doubt(last)
+		}
+		ran = ran || mayHaveRun(&last)
 		left = last.Unused
 		reason, again := again(ctx, c, &last)
+		if again && moves < maxMoves && moved(&last) {
+			moves++
+			d.metric.Retried(reason)
+			continue
+		}
 		if !again || left == 0 {
 			return last
 		}
@@ -93,7 +104,13 @@
 		r = d.peers.Call(ctx, e, &attempt)
 	}
 	if r.Failure != nil && r.Failure.Reason == call.PeerLost {
-		d.settle(ctx, e, attempt.ID, &r)
+		d.settle(ctx, e, &attempt, &r)
+	}
+	if r.Failure != nil && r.Failure.Reason == call.Fenced {
+		r.Unused = left
+	}
+	if r.Failure != nil && r.Failure.Reason == call.Draining {
+		d.endpoints.Rest(e)
 	}
 	if r.Feedback != nil {
 		e.SetFeedback(r.Feedback)
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -4,9 +4,13 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"comfreycart.dev/comfreycart/internal/api"
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/metric"
@@ -26,6 +30,9 @@
 	mu       sync.Mutex
 	stations map[string]*station
 	draining bool
+
+	// handled counts the calls that were taken in and have no result yet.
+	handled atomic.Int64
 }
 
 // station is what the server keeps for one local backend server.
@@ -52,8 +59,10 @@
 // Handle runs a call at the local backend server of its service. The call's
 // Deadline must be on this node's clock.
 func (s *Server) Handle(ctx context.Context, c *call.Call) call.Result {
+	s.handled.Add(1)
+	defer s.handled.Add(-1)
 	if !s.fences.Arrive(c.ID) {
-		return call.Fail(call.Refuse(call.Fenced, "the call was fenced or seen before"), c.Allowance)
+		return s.barred(c)
 	}
 	local, st, f := s.station(c.Service)
 	if f != nil {
@@ -68,6 +77,10 @@
 		return s.refused(st, c, f)
 	}
 	defer release()
+	if s.leaving(c.Service) {
+		s.fences.Fence(c.ID)
+		return s.refused(st, c, call.Refuse(call.Draining, "the endpoint left while the call was queued"))
+	}
 	if ctx.Err() != nil {
 		s.fences.Fence(c.ID)
 		return s.refused(st, c, call.Refuse(call.QueueTimeout, "deadline passed while queued"))
@@ -78,6 +91,14 @@
 	return s.run(ctx, st, local, c)
 }
 
+// barred answers a call that was fenced, or is here a second time.
+func (s *Server) barred(c *call.Call) call.Result {
+	if s.fences.Fence(c.ID) {
+		return call.Fail(call.Refuse(call.Fenced, "the call was fenced"), c.Allowance)
+	}
+	return call.Fail(call.Lose(call.Fenced, "the call was here before and started"), 0)
+}
+
 func (s *Server) refused(st *station, c *call.Call, f *call.Failure) call.Result {
 	r := call.Fail(f, c.Allowance)
 	r.Feedback = st.gate.Feedback()
@@ -92,7 +113,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || local.State == table.Draining {
+	if s.draining || s.leaving(service) {
 		return local, nil, call.Refuse(call.Draining, "the endpoint is leaving")
 	}
 	st := s.stations[service]
@@ -106,22 +127,46 @@
 	return local, st, nil
 }
 
+// leaving reports whether a backend server drains or is no longer heard of. The age
+// of its heartbeat is looked at here too, since this node may just have been paused.
+func (s *Server) leaving(service string) bool {
+	local, ok := s.locals.Get(service)
+	if !ok || local.State == table.Draining {
+		return true
+	}
+	return s.clock.Now().Sub(local.Heard) > table.HeartbeatTimeout
+}
+
 // run sends a started call to its backend server.
 func (s *Server) run(ctx context.Context, st *station, local table.Local, c *call.Call) call.Result {
 	handle, running := s.calls.Open(ctx, c)
 	defer s.calls.Close(handle)
 	begin := s.clock.Now()
-	answer, f := exchange(ctx, st.pool, s.clock, c, handle)
+	resp, body, f := exchange(ctx, st.pool, s.clock, c, handle)
 	metric.Observe(s.metric.Histogram("comfreycart_backend_seconds", "service", local.Service), s.clock.Now().Sub(begin))
-	left, overloaded := running.End()
-	r := call.Result{Answer: answer, Failure: f, Unused: left, Overloaded: overloaded}
-	if f != nil && f.Overload() {
+	left, below := running.End()
+	r := call.Result{Failure: f, Unused: left, Overloaded: below.Overloaded, FailedBelow: below.Failed}
+	switch {
+	case f != nil:
+	case promisedNotRun(resp, below):
+		r.Failure = call.Refuse(call.ShedByBackend, "the backend server of %s shed the call", c.Service)
 		r.Overloaded = true
+	default:
+		r.Answer = answerOf(resp, c.Request.Method, body)
 	}
 	r.Feedback = st.gate.Feedback()
 	return r
 }
 
+// answerOf returns the answer as it is passed on; one to HEAD keeps its length.
+func answerOf(resp *http.Response, method string, body []byte) *call.Answer {
+	header := api.AnswerHeader(resp.Header)
+	if method == http.MethodHead && resp.ContentLength >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	return &call.Answer{Status: resp.StatusCode, Header: header, Body: body}
+}
+
 // Gauges registers the gauges of a service's gate.
 func (s *Server) Gauges(service string) {
 	load := func(pick func(*call.Feedback) uint32) func() float64 {
@@ -140,10 +185,10 @@
 	s.metric.Gauge("comfreycart_queued_calls", load(func(f *call.Feedback) uint32 { return f.Queued }), "service", service)
 }
 
-// Idle waits until no call runs or ctx ends.
+// Idle waits until no call runs or waits, or ctx ends.
 func (s *Server) Idle(ctx context.Context) {
 	const look = 10 * time.Millisecond
-	for s.calls.Len() > 0 {
+	for s.handled.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return
