A hop keeps one retry when it passes the allowance on

Ruled out: counting a lost attempt as having spent nothing, which breaks the bound. Change: with two retries left or more, one stays at the hop; what was passed on and not returned still counts as spent. Conclusion: a death costs idempotent routes with two retries nothing; non-idempotent requests that the node had taken stay unknown, as they must.

--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -71,7 +71,9 @@
 			return d.exhausted(last, c, left)
 		}
 		tried = append(tried, e)
-		last = d.send(ctx, e, c, left)
+		kept := kept(left)
+		last = d.send(ctx, e, c, left-kept)
+		last.Unused += kept
 		if ran {
 			last = doubt(last)
 		}
--- a/internal/system/dispatch/retry.go
+++ b/internal/system/dispatch/retry.go
@@ -15,8 +15,12 @@
 // maxMoves bounds how often one hop turns elsewhere without spending its allowance.
 const maxMoves = 8
 
-// moved reports whether the endpoint was gone or its connection was closed, so that turning elsewhere costs no
-// allowance: a planned stop cuts no request, also on routes without retries. Such a
+// kept is the part of an allowance that a hop does not pass on with an attempt: one
+// retry, if one is left for the hops below. A lost answer takes along what was passed on.
+func kept(left int) int { return min(1, left/2) }
+
+// moved reports whether the endpoint was gone or its connection was closed, so that
+// turning elsewhere costs no allowance: a planned stop cuts no request, also on routes without retries. Such a
 // refusal proves that the call did not run, so at most one of the endpoints turned to
 // does any work.
 func moved(r *call.Result) bool {
--- a/internal/system/dispatch/retry_test.go
+++ b/internal/system/dispatch/retry_test.go
@@ -82,3 +82,13 @@
 	require.Equal(t, 502, do(t, p, true).Answer.Status)
 	require.Equal(t, 1, p.sent)
 }
+
+// The answer of a node that died takes the allowance given to it along, but not the
+// retry that this hop kept for itself.
+func TestALostAttemptLeavesThisHopARetry(t *testing.T) {
+	p := &fakePeers{results: []call.Result{lostResult, {Answer: &call.Answer{Status: 200}}}}
+	r := do(t, p, true)
+	require.Equal(t, 2, p.sent)
+	require.NotNil(t, r.Answer)
+	require.Zero(t, r.Unused)
+}
