A settings change sends a part of the manifest, and one class of owners

The owners of 13 classes were one object of 145,042 bytes. Ruled out: deltas between versions, which a node that missed one cannot use. Change: 32 parts of the manifest by hash of the team; one object of owners a class; 128 slots a class, since 16 cost a home about 11% of a core at the target size.

--- a/internal/system/homes/homes.go
+++ b/internal/system/homes/homes.go
@@ -27,7 +27,7 @@
 )
 
 // Slots is the number of slots of each class.
-const Slots = 16
+const Slots = 128
 
 const (
 	reconcileInterval = 100 * time.Millisecond
--- a/internal/system/settingsync/document.go
+++ b/internal/system/settingsync/document.go
@@ -10,6 +10,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
 
 	"comfreycart.dev/comfreycart/internal/settings"
 )
@@ -22,66 +25,132 @@
 	Members int `json:"members"`
 }
 
+// manifestParts is the number of parts that the teams' digests are kept in, so that
+// a change sends one part instead of all of them.
+const manifestParts = 32
+
 // Manifest names the objects of one version by digest.
 type Manifest struct {
-	Deployment string            `json:"deployment"`
-	Teams      map[string]string `json:"teams"`
-	Homes      string            `json:"homes"`
+	Deployment string `json:"deployment"`
+	// Homes names the owners' objects by class.
+	Homes map[string]string `json:"homes"`
+	// Parts names the parts by their number; an empty one has no name.
+	Parts [manifestParts]string `json:"parts"`
 }
 
+// part names the objects of some of the teams by digest.
+type part map[string]string
+
+// partOf returns the number of the part that names a team's object.
+func partOf(team string) int { return int(xxhash.Sum64String(team) % manifestParts) }
+
 // Digest returns the name of an object.
 func Digest(data []byte) string {
 	sum := sha256.Sum256(data)
 	return hex.EncodeToString(sum[:])
 }
 
-// Digests returns the digests of all objects that m names.
-func (m *Manifest) Digests() []string {
-	all := []string{m.Deployment, m.Homes}
-	for _, d := range m.Teams {
+// digests returns the digests of the objects that m names itself.
+func (m *Manifest) digests() []string {
+	all := []string{m.Deployment}
+	for _, d := range m.Homes {
 		all = append(all, d)
 	}
+	for _, d := range m.Parts {
+		if d != "" {
+			all = append(all, d)
+		}
+	}
 	return all
 }
 
-// split turns a tree into its objects and their manifest.
-func split(t *settings.Tree) (Manifest, map[string][]byte, error) {
-	m := Manifest{Teams: map[string]string{}}
-	objects := map[string][]byte{}
-	add := func(v any) (string, error) {
-		data, err := json.Marshal(v)
-		if err != nil {
-			return "", err
+// teams returns the digests of the teams' objects, by team, from the parts in objects.
+func (m *Manifest) teams(objects map[string][]byte) (map[string]string, error) {
+	all := map[string]string{}
+	for _, d := range m.Parts {
+		if d == "" {
+			continue
 		}
-		d := Digest(data)
-		objects[d] = data
-		return d, nil
+		var p part
+		if err := json.Unmarshal(objects[d], &p); err != nil {
+			return nil, err
+		}
+		maps.Copy(all, p)
 	}
-	var err error
-	if m.Deployment, err = add(t.Deployment); err != nil {
-		return m, nil, err
+	return all, nil
+}
+
+// objectSet collects objects by digest.
+type objectSet map[string][]byte
+
+// add encodes v and returns its digest.
+func (o objectSet) add(v any) (string, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return "", err
 	}
-	if m.Homes, err = add(t.Homes); err != nil {
+	d := Digest(data)
+	o[d] = data
+	return d, nil
+}
+
+// split turns a tree into its objects and their manifest.
+func split(t *settings.Tree) (Manifest, map[string][]byte, error) {
+	m := Manifest{Homes: map[string]string{}}
+	objects := objectSet{}
+	var err error
+	if m.Deployment, err = objects.add(t.Deployment); err != nil {
 		return m, nil, err
 	}
-	for name, team := range t.Teams {
-		if m.Teams[name], err = add(team); err != nil {
+	for class, slots := range t.Homes {
+		if m.Homes[class], err = objects.add(slots); err != nil {
 			return m, nil, err
 		}
 	}
-	return m, objects, nil
+	m.Parts, err = splitTeams(t.Teams, objects)
+	return m, objects, err
+}
+
+func splitTeams(teams map[string]settings.Team, objects objectSet) (names [manifestParts]string, err error) {
+	var parts [manifestParts]part
+	for name, team := range teams {
+		n := partOf(name)
+		if parts[n] == nil {
+			parts[n] = part{}
+		}
+		if parts[n][name], err = objects.add(team); err != nil {
+			return names, err
+		}
+	}
+	for n, p := range parts {
+		if p == nil {
+			continue
+		}
+		if names[n], err = objects.add(p); err != nil {
+			return names, err
+		}
+	}
+	return names, nil
 }
 
 // join turns a manifest and its objects into a tree.
 func join(m Manifest, objects map[string][]byte) (*settings.Tree, error) {
-	t := &settings.Tree{Teams: map[string]settings.Team{}}
+	t := &settings.Tree{Teams: map[string]settings.Team{}, Homes: settings.Homes{}}
 	if err := json.Unmarshal(objects[m.Deployment], &t.Deployment); err != nil {
 		return nil, err
 	}
-	if err := json.Unmarshal(objects[m.Homes], &t.Homes); err != nil {
+	for class, d := range m.Homes {
+		var slots []settings.Home
+		if err := json.Unmarshal(objects[d], &slots); err != nil {
+			return nil, err
+		}
+		t.Homes[class] = slots
+	}
+	teams, err := m.teams(objects)
+	if err != nil {
 		return nil, err
 	}
-	for name, d := range m.Teams {
+	for name, d := range teams {
 		var team settings.Team
 		if err := json.Unmarshal(objects[d], &team); err != nil {
 			return nil, err
--- a/internal/system/settingsync/objects.go
+++ b/internal/system/settingsync/objects.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -36,7 +38,14 @@
 	if err := json.Unmarshal(objects[head.Manifest], &m); err != nil {
 		return nil, nil, err
 	}
-	if err := fetch(ctx, from, m.Digests(), have, objects); err != nil {
+	if err := fetch(ctx, from, m.digests(), have, objects); err != nil {
+		return nil, nil, err
+	}
+	teams, err := m.teams(objects)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := fetch(ctx, from, slices.Collect(maps.Values(teams)), have, objects); err != nil {
 		return nil, nil, err
 	}
 	tree, err := join(m, objects)
