A term of claims begins when its home may act; one loop for all systems' ticks

Change: a tick opens the books of slots newly owned (test seen failing before); system.Every replaces four copies of the same loop. Conclusion: what is refused no longer depends on which slots were used.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
+	"comfreycart.dev/comfreycart/internal/system"
 	"comfreycart.dev/comfreycart/internal/system/claims"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/system/homes"
@@ -100,6 +101,7 @@
 	n.spawn(func() { n.Membership.Run(ctx) })
 	n.spawn(func() { n.Homes.Run(ctx) })
 	n.spawn(func() { n.Shares.Run(ctx) })
+	n.spawn(func() { n.Claims.Run(ctx) })
 	n.spawn(func() { n.expire(ctx) })
 	return nil
 }
@@ -164,17 +166,10 @@
 }
 
 func (n *Node) expire(ctx context.Context) {
-	tick := time.NewTicker(expiryInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			n.Fences.Expire()
-			n.Claims.Expire()
-		}
-	}
+	system.Every(ctx, expiryInterval, func() {
+		n.Fences.Expire()
+		n.Claims.Expire()
+	})
 }
 
 func (n *Node) closeListeners() {
--- a/internal/system/claims/claims_test.go
+++ b/internal/system/claims/claims_test.go
@@ -206,3 +206,18 @@
 	f.settled(t, "b", b, "")
 	require.Equal(t, 1, b.runs)
 }
+
+// A term begins when the node may act, not with the slot's first claim: the keys of the
+// time between were issued after the home before had stopped.
+func TestATermBeginsBeforeItsFirstClaim(t *testing.T) {
+	f := newFleet("a")
+	f.name("a", 5, 4)
+	m := f.managers["a"]
+	m.openAll()
+	require.Nil(t, m.shelf.slots[0].book, "the home before may still act")
+	f.fenced.Store(true)
+	m.openAll()
+	for n := range m.shelf.slots {
+		require.NotNil(t, m.shelf.slots[n].book)
+	}
+}
--- a/internal/system/claims/handover.go
+++ b/internal/system/claims/handover.go
@@ -18,6 +18,8 @@
 	// may have left by plan, before it begins without them.
 	handOverWait  = handOverTimeout + 200*time.Millisecond
 	handOverPause = 20 * time.Millisecond
+	// openInterval is how often a node looks for slots newly owned.
+	openInterval = 200 * time.Millisecond
 	// partBytes and partRecords bound one message of a hand-over.
 	partBytes   = 4 << 20
 	partRecords = 10_000
--- a/internal/system/claims/home.go
+++ b/internal/system/claims/home.go
@@ -10,6 +10,7 @@
 	"comfreycart.dev/comfreycart/internal/peer"
 	"comfreycart.dev/comfreycart/internal/peer/peerpb"
 	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/system"
 	"comfreycart.dev/comfreycart/internal/system/homes"
 )
 
@@ -244,6 +245,19 @@
 	return settings.DefaultIdempotencyWindow
 }
 
+// Run opens the books of slots newly owned until ctx ends. A term that began with the
+// first claim of its slot would refuse keys that were issued long after the home before
+// had stopped.
+func (m *Manager) Run(ctx context.Context) {
+	system.Every(ctx, openInterval, m.openAll)
+}
+
+func (m *Manager) openAll() {
+	for n := range homes.Slots {
+		m.owns(n)
+	}
+}
+
 // Expire forgets records whose window has passed.
 func (m *Manager) Expire() {
 	for i := range m.shelf.slots {
--- a/internal/system/homes/homes.go
+++ b/internal/system/homes/homes.go
@@ -21,6 +21,7 @@
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/system"
 	"comfreycart.dev/comfreycart/internal/system/dispatch"
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
 	"comfreycart.dev/comfreycart/internal/table"
@@ -201,16 +202,7 @@
 
 // Run keeps the slots owned until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
-	tick := time.NewTicker(reconcileInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			m.Tick(ctx)
-		}
-	}
+	system.Every(ctx, reconcileInterval, func() { m.Tick(ctx) })
 }
 
 // Tick proposes owners for the slots whose owner is gone, in the classes that this
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -15,6 +15,7 @@
 	"comfreycart.dev/comfreycart/internal/decide/gossip"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/platform"
+	"comfreycart.dev/comfreycart/internal/system"
 	"comfreycart.dev/comfreycart/internal/system/dispatch"
 	"comfreycart.dev/comfreycart/internal/table"
 )
@@ -133,17 +134,10 @@
 // watchLocals passes on what this VM's backend servers announce, and that they fell
 // silent, until ctx ends.
 func (m *Manager) watchLocals(ctx context.Context) {
-	tick := time.NewTicker(localInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			m.locals.Expire(m.clock.Now().Add(-table.HeartbeatTimeout))
-			m.publish(ctx)
-		}
-	}
+	system.Every(ctx, localInterval, func() {
+		m.locals.Expire(m.clock.Now().Add(-table.HeartbeatTimeout))
+		m.publish(ctx)
+	})
 }
 
 // publish renews this node's own record if its backend servers changed.
--- a/internal/system/settingsync/spread.go
+++ b/internal/system/settingsync/spread.go
@@ -7,6 +7,7 @@
 
 	"comfreycart.dev/comfreycart/internal/decide/evidence"
 	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+	"comfreycart.dev/comfreycart/internal/system"
 )
 
 const (
@@ -22,16 +23,7 @@
 
 // exchangeLoop pulls from one random member a tick, and begins a round at need.
 func (f *Follower) exchangeLoop(ctx context.Context) {
-	tick := time.NewTicker(exchangeInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f.Exchange(ctx)
-		}
-	}
+	system.Every(ctx, exchangeInterval, func() { f.Exchange(ctx) })
 }
 
 // Exchange starts one pull from a random member and, by chance, a round that is
