A key is checked again once the body is there; refusals are logged with account and route

Cause: a caller that sent its body slowly ran for a key withdrawn meanwhile; settings that arrived between two looks gave neither admission nor refusal and crashed the handler. Change: the gate confirms key, account and freshness right before the request is sent on; the missing settings are refused by name; debug logs carry account, route and service.

--- a/internal/api/caller/caller.go
+++ b/internal/api/caller/caller.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"comfreycart.dev/comfreycart/internal/api"
@@ -17,36 +18,52 @@
 
 // Handler answers callers. It is safe for concurrent use.
 type Handler struct {
-	gate   *entry.Gate
-	metric *metric.Set
-	log    zerolog.Logger
+	gate    *entry.Gate
+	metric  *metric.Set
+	seconds *metrics.Histogram
+	log     zerolog.Logger
 }
 
 // New returns a handler in front of the gate.
 func New(g *entry.Gate, m *metric.Set, log zerolog.Logger) *Handler {
-	return &Handler{gate: g, metric: m, log: log}
+	return &Handler{gate: g, metric: m, seconds: m.Histogram("comfreycart_request_seconds"), log: log}
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	begin := time.Now()
-	result := h.serve(w, r)
-	metric.Observe(h.metric.Histogram("comfreycart_request_seconds"), time.Since(begin))
+	admission, result := h.serve(w, r)
+	metric.Observe(h.seconds, time.Since(begin))
 	if f := result.Failure; f != nil {
 		h.metric.Refused(f.Reason)
-		h.log.Debug().Str("reason", string(f.Reason)).Str("outcome", string(f.Outcome)).Msg("refused")
+		h.logRefusal(admission, f)
 		problem.Write(w, f)
 		return
 	}
 	api.WriteAnswer(w, r, result.Answer)
 }
 
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request) call.Result {
+// logRefusal names the account and the route of an admitted request.
+func (h *Handler) logRefusal(a *entry.Admission, f *call.Failure) {
+	event := h.log.Debug().Str("reason", string(f.Reason)).Str("outcome", string(f.Outcome))
+	if a != nil {
+		event = event.Str("account", a.Account).Str("route", a.Route.Name).Str("service", a.Route.Service)
+	}
+	event.Msg("refused")
+}
+
+// serve returns the admission, nil if there was none, and what the request came to.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) (*entry.Admission, call.Result) {
 	key := bearer(r.Header)
 	admission, f := h.gate.Admit(r.Context(), r.Method, r.URL.Path, key)
 	if f != nil {
-		return call.Result{Failure: f}
+		return nil, call.Result{Failure: f}
 	}
+	return admission, h.run(w, r, admission, key)
+}
+
+// run reads an admitted request whole and sends it on its way.
+func (h *Handler) run(w http.ResponseWriter, r *http.Request, admission *entry.Admission, key string) call.Result {
 	timeout, f := api.Timeout(r.Header, admission.Route.Deadline)
 	if f != nil {
 		return call.Result{Failure: f}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,40 +53,68 @@
 	Account string
 	// Begin is when the request came in.
 	Begin clock.Time
+
+	key string
 }
 
 // Admit checks a request by its head alone. A refused request does not run.
 func (g *Gate) Admit(ctx context.Context, method, path, key string) (*Admission, *call.Failure) {
 	view := g.views.View()
 	if view == nil {
-		return nil, g.freshness.Fresh()
+		return nil, call.Refuse(call.SettingsMissing, "the node has no settings yet").After(time.Second)
 	}
 	route, ok := view.Route(method, path, false)
 	if !ok {
 		return nil, call.Refuse(call.NoRoute, "no route matches the method and path")
 	}
-	a := &Admission{Route: route, Begin: g.clock.Now()}
+	a := &Admission{Route: route, Begin: g.clock.Now(), key: key}
 	if route.Open {
 		return a, nil
 	}
-	if f := g.freshness.Fresh(); f != nil {
+	var f *call.Failure
+	if a.Account, f = g.authenticate(key); f != nil {
 		return nil, f
 	}
-	if a.Account, ok = view.Account(key); !ok {
-		return nil, call.Refuse(call.KeyUnknown, "the key is unknown or was withdrawn")
-	}
 	if f := g.shares.Take(ctx, view, a.Account); f != nil {
 		return nil, f
 	}
 	return a, nil
 }
 
+// authenticate returns the account that a key stands for by the settings in force.
+func (g *Gate) authenticate(key string) (string, *call.Failure) {
+	if f := g.freshness.Fresh(); f != nil {
+		return "", f
+	}
+	account, ok := g.views.View().Account(key)
+	if !ok {
+		return "", call.Refuse(call.KeyUnknown, "the key is unknown or was withdrawn")
+	}
+	return account, nil
+}
+
+// confirm checks again that the key stands for the account, since the body may have
+// taken longer than a withdrawal.
+func (g *Gate) confirm(a *Admission) *call.Failure {
+	if a.Route.Open {
+		return nil
+	}
+	account, f := g.authenticate(a.key)
+	if f == nil && account != a.Account {
+		f = call.Refuse(call.KeyUnknown, "the key was granted to another account meanwhile")
+	}
+	return f
+}
+
 // Run sends an admitted request on its way, with timeout counted from its admission.
 func (g *Gate) Run(ctx context.Context, a *Admission, timeout time.Duration, r *call.Request) call.Result {
 	if g.clock.Now().Sub(a.Begin) >= timeout {
 		f := call.Refuse(call.DeadlinePassed, "the deadline passed before the request was sent on")
 		return call.Fail(f, a.Route.Retries)
 	}
+	if f := g.confirm(a); f != nil {
+		return call.Fail(f, a.Route.Retries)
+	}
 	c := &call.Call{
 		ID:          call.NewID(),
 		Account:     a.Account,
