Plots of the experiment

Cause: the table alone hides how the policies differ over demand. Seen: the plots of go run ./test/experiment -only demand, drawn and looked at.

--- a/test/experiment/main.go
+++ b/test/experiment/main.go
@@ -19,7 +19,7 @@
 	only := flag.String("only", "", "run only scenarios whose name holds this")
 	variants := flag.Bool("variants", false, "compare variants of the product's policy")
 	policies := flag.String("policies", "", "compare only policies whose name holds this")
-	out := flag.String("out", "out/experiment", "folder for the table")
+	out := flag.String("out", "out/experiment", "folder for the table and the plots")
 	flag.Parse()
 	compared := keep(experiment.Policies, *policies)
 	if *variants {
@@ -56,7 +56,10 @@
 	if err := save(filepath.Join(folder, "table.md"), policies, rows, experiment.WriteMarkdown); err != nil {
 		return err
 	}
-	return save(filepath.Join(folder, "table.csv"), policies, rows, experiment.WriteCSV)
+	if err := save(filepath.Join(folder, "table.csv"), policies, rows, experiment.WriteCSV); err != nil {
+		return err
+	}
+	return experiment.WritePlots(folder, policies, rows)
 }
 
 func save(file string, policies []experiment.Policy, rows []experiment.Row, to writer) error {
