A version is fenced at once by all its owners' word, present and past

Cause: the random schedules, given the fence without a wait, found two owners acting at once after 2,824 schedules: a round in which every known member confirmed may know too few members after restarts. Ruled out: the largest view of the round as a bound, which shrinks with the views; going back to the wait, which costs every planned stop 5 s of a domain's tokens. Change: after a change of owners its maker asks the present owners and those past ones that may still act; the settings keep them until the version is fenced. One place sets and prints the seed of all random schedules. Conclusion: the wait is left out only where nobody could act.

--- a/internal/decide/claim/book_test.go
+++ b/internal/decide/claim/book_test.go
@@ -1,9 +1,6 @@
 package claim
 
 import (
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -12,20 +9,10 @@
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/test/property"
 )
 
-const (
-	seed      = "20261204"
-	schedules = "20000"
-)
-
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", seed)
-	_ = flag.Set("rapid.checks", schedules)
-	flag.Parse()
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Options{Checks: 20000}) }
 
 const (
 	testWindow  = time.Minute
--- a/internal/decide/escrow/escrow_test.go
+++ b/internal/decide/escrow/escrow_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -11,10 +10,10 @@
 	"pgregory.net/rapid"
 
 	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/test/property"
 )
 
 const (
-	seed = "20261204"
 	// leaseTerm is how long a former owner may go on; see settingsync.
 	leaseTerm = 4 * time.Second
 	domains   = 3
@@ -23,14 +22,7 @@
 	steps = 1500
 )
 
-// TestMain fixes the seed of the schedules unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set(seed)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Options{}) }
 
 // owner is a process that is a home, maybe of a domain that has a newer owner.
 type owner struct {
--- a/internal/decide/evidence/evidence.go
+++ b/internal/decide/evidence/evidence.go
@@ -171,8 +171,8 @@
 	return version <= s.highestFenced(now)
 }
 
-// Fence notes that every member holds a version, or that another node knows it to be
-// fenced: nobody is left who could act on an older one.
+// Fence notes that every node that an older version may name as an owner confirmed a
+// version, or that another node knows it to be fenced: nobody acts on an older one.
 func (s *State) Fence(version uint64, now clock.Time) {
 	s.Settle(version, now)
 	s.fenced = max(s.fenced, version)
--- a/internal/decide/evidence/evidence_test.go
+++ b/internal/decide/evidence/evidence_test.go
@@ -1,9 +1,6 @@
 package evidence
 
 import (
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,25 +8,17 @@
 	"pgregory.net/rapid"
 
 	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/test/property"
 )
 
 // seed of the random schedules; -rapid.seed sets another one.
-const seed = "20261204"
-
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", seed)
-	_ = flag.Set("rapid.checks", "3000")
-	_ = flag.Set("rapid.steps", "300")
-	flag.Parse()
-	fmt.Println("rapid.seed:", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Options{Checks: 3000, Steps: 300}) }
 
 func TestNothingRevertsAndOwnersExclude(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"poll": w.poll, "pull": w.pull, "round": w.round, "accept": w.accept,
+			"poll": w.poll, "pull": w.pull, "round": w.round, "accept": w.accept, "fence": w.fence, "prompt fence": w.promptly(w.fence),
 			"prompt poll": w.promptly(w.poll), "prompt pull": w.promptly(w.pull),
 			"prompt round": w.promptly(w.round), "prompt accept": w.promptly(w.accept),
 			"another accept": w.promptly(w.accept), "another round": w.promptly(w.round),
--- a/internal/decide/evidence/round.go
+++ b/internal/decide/evidence/round.go
@@ -41,12 +41,6 @@
 // Widest is the largest number of members that a node of the round knows.
 func (r *Round) Widest() int { return r.widest }
 
-// Unanimous reports whether every member that a node of the round knows confirmed, so
-// that nobody is left who could act on an older version.
-func (r *Round) Unanimous() bool {
-	return r.confirmed > 0 && r.confirmed == r.told && r.told >= max(r.floor, r.widest)
-}
-
 // Complete returns the stamp that the round gives, if a majority confirmed in time.
 func (r *Round) Complete(now clock.Time) (Stamp, bool) {
 	if 2*r.confirmed <= max(r.floor, r.widest) || now.Sub(r.started) > FreshFor {
--- a/internal/decide/evidence/world_test.go
+++ b/internal/decide/evidence/world_test.go
@@ -226,6 +226,36 @@
 	}
 }
 
+// fence has all nodes confirm the version that a version not yet fenced names as owners.
+func (w *world) fence(*rapid.T) {
+	a := w.pick("fencer")
+	version := a.state.Installed()
+	missing := map[int]bool{}
+	for v := max(1, a.state.highestFenced(w.clock(a))); v <= version; v++ {
+		if o := w.owners[v]; o.since != 0 {
+			missing[o.node] = true
+		}
+	}
+	for _, b := range w.nodes {
+		if !missing[b.index] {
+			continue
+		}
+		w.later(a, b, func() {
+			b.state.Install(version)
+			confirmed := b.state.Confirms(version)
+			w.later(a, b, func() {
+				if !confirmed {
+					return
+				}
+				delete(missing, b.index)
+				if len(missing) == 0 {
+					a.state.Fence(version, w.clock(a))
+				}
+			})
+		})
+	}
+}
+
 func (w *world) conclude(a *node, r *Round) {
 	stamp, ok := r.Complete(w.clock(a))
 	if !ok {
--- a/internal/decide/gossip/machine_test.go
+++ b/internal/decide/gossip/machine_test.go
@@ -1,9 +1,6 @@
 package gossip
 
 import (
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"comfreycart.dev/comfreycart/internal/table"
+	"comfreycart.dev/comfreycart/test/property"
 )
 
 // healBound is how long after healing the views may differ, in a fleet of up to ten.
@@ -178,16 +176,7 @@
 }
 
 // checkSeed makes the random schedules the same in each run.
-const checkSeed = "20261204"
-
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", checkSeed)
-	}
-	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Options{}) }
 
 // Two halves without contacts find each other again after an hour apart.
 func TestHalvesMeetAgain(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,8 @@
 	First bool `json:"first,omitempty"`
 	// Before is the Since of the owner before, 0 if there was none.
 	Before uint64 `json:"before,omitempty"`
+	// Past names the nodes that were owners and may not have stopped yet.
+	Past []string `json:"past,omitempty"`
 }
 
 // Deployment is the part that only the deployment's own operators may change.
--- a/internal/system/dispatch/property_test.go
+++ b/internal/system/dispatch/property_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -16,20 +13,10 @@
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/table"
+	"comfreycart.dev/comfreycart/test/property"
 )
 
-const (
-	seed      = "20261204"
-	schedules = "20000"
-)
-
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", seed)
-	_ = flag.Set("rapid.checks", schedules)
-	flag.Parse()
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Options{Checks: 20000}) }
 
 // network carries calls to far nodes with real fence tables; it loses messages,
 // delays them, and restarts nodes.
--- a/internal/system/homes/homes.go
+++ b/internal/system/homes/homes.go
@@ -67,6 +67,8 @@
 	Fresh() *call.Failure
 	// Fenced reports whether nobody acts on settings older than version any more.
 	Fenced(version uint64) bool
+	// FenceBy fences a version without a wait if all the owners confirm it.
+	FenceBy(ctx context.Context, version uint64, owners []string)
 }
 
 // Manager keeps the slots owned. It is safe for concurrent use.
@@ -297,10 +299,13 @@
 func (m *Manager) change(ctx context.Context, class, what string, apply func(t *settings.Tree, version uint64)) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
+	var owners []string
 	version, err := m.acceptor.Accept(ctx, settingsync.Change{
 		ID: uuid.NewString(),
 		Apply: func(t *settings.Tree, version uint64) error {
+			forget(t.Homes, m.fence.Fenced)
 			apply(t, version)
+			owners = actors(t.Homes)
 			return nil
 		},
 	})
@@ -308,6 +313,7 @@
 		m.log.Warn().Err(err).Str("class", class).Msg("owners not changed")
 		return
 	}
+	m.fence.FenceBy(ctx, version, owners)
 	m.log.Info().Str("class", class).Uint64("version", version).Msg(what)
 }
 
@@ -326,7 +332,7 @@
 		}
 		fit := r.eligible(class)
 		id := choose(class+"/"+strconv.Itoa(slot), fit)
-		homes[slot] = settings.Home{Node: id, Incarnation: fit[id].Incarnation, Since: version, First: first, Before: h.Since}
+		homes[slot] = settings.Home{Node: id, Incarnation: fit[id].Incarnation, Since: version, First: first, Before: h.Since, Past: past(h)}
 	}
 	t.Homes[class] = homes
 }
--- a/internal/system/homes/roster_test.go
+++ b/internal/system/homes/roster_test.go
@@ -48,6 +48,6 @@
 			require.Equal(t, before[slot], home)
 			continue
 		}
-		require.Equal(t, settings.Home{Node: "b", Incarnation: 1, Since: 9, Before: 7}, home)
+		require.Equal(t, settings.Home{Node: "b", Incarnation: 1, Since: 9, Before: 7, Past: []string{"a"}}, home)
 	}
 }
--- a/internal/system/settingsync/majority.go
+++ b/internal/system/settingsync/majority.go
@@ -41,26 +41,12 @@
 		if stamp, ok := r.Complete(f.clock.Now()); ok {
 			f.conclude(stamp, r.Widest())
 			go f.notify(snapshot.sample(evidence.Told(len(snapshot.members))), version)
-			go f.fenceIfAll(r, tallies, version)
 			return true
 		}
 	}
 	return false
 }
 
-// fenceIfAll waits for the rest of a complete round and notes if nobody is missing.
-func (f *Follower) fenceIfAll(r *evidence.Round, rest <-chan evidence.Tally, version uint64) {
-	for t := range rest {
-		r.Add(t)
-	}
-	if !r.Unanimous() {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.state.Fence(version, f.clock.Now())
-}
-
 // ask asks all members, directly or by ranges.
 func (f *Follower) ask(ctx context.Context, version uint64, s *fleet) <-chan evidence.Tally {
 	ranges := evidence.Ranges(len(s.members))
