--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	go build -o $(BIN)/ ./cmd/... ./test/standin
 
 test:
-	go test ./...
+	go test -count=1 ./...
 
 demo: build
 	$(BIN)/comfreycart demo
