--- a/cmd/comfreycartd/main.go
+++ b/cmd/comfreycartd/main.go
@@ -4,22 +4,43 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/node"
 )
 
+const (
+	// logLines is how many lines wait for a slow reader of the log before the oldest
+	// are dropped, and logPoll how often the writer looks for new ones.
+	logLines = 1024
+	logPoll  = 50 * time.Millisecond
+	// memoryPart is the part of a process's memory that the collector aims to stay in.
+	memoryPart = 0.8
+	// collectPercent makes the collector run at half the usual growth of the heap: on
+	// small VMs memory is scarcer than processor time.
+	collectPercent = 50
+)
+
 type cli struct {
-	Config string `required:"" help:"The node's file." type:"path"`
+	Config string `required:"" help:"The node's file." type:"path" env:"COMFREYCART_CONFIG"`
 	Check  bool   `help:"Check the node's file and exit."`
 }
 
+// runner is a node.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
 // Run runs the node until it is told to stop.
 func (c *cli) Run() error {
 	cfg, err := config.Load(c.Config)
@@ -32,14 +53,52 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("node", cfg.ID).Logger()
-	n, err := node.New(cfg, node.BaseLog(log))
+	out := diode.NewWriter(os.Stdout, logLines, logPoll, func(missed int) {
+		fmt.Fprintf(os.Stderr, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"lines\":%d}\n", missed)
+	})
+	defer out.Close()
+	log := newLog(out, cfg.ID)
+	go watchFile(ctx, c.Config, log)
+	n, err := newNode(cfg, log)
 	if err != nil {
 		return err
 	}
 	return n.Run(ctx)
 }
 
+func newLog(out io.Writer, id string) zerolog.Logger {
+	return zerolog.New(out).With().Timestamp().Str("node", id).Logger()
+}
+
+func newNode(cfg *config.Node, log zerolog.Logger) (runner, error) {
+	if cfg.Mesh == nil {
+		return node.New(cfg, node.BaseLog(log))
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Mesh.Memory())))
+	return node.NewMesh(cfg, node.BaseLog(log))
+}
+
+// watchFile checks the node's file on each SIGHUP. What it says is in force from the
+// next start; a file with a fault changes nothing.
+func watchFile(ctx context.Context, path string, log zerolog.Logger) {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		if _, err := config.Load(path); err != nil {
+			log.Error().Err(err).Msg("node file reloaded, it has a fault")
+			continue
+		}
+		log.Info().Msg("node file reloaded, it is in force from the next start")
+	}
+}
+
 func main() {
 	var c cli
 	k := kong.Parse(&c, kong.Name("comfreycartd"), kong.Description("One comfreycart node."))
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -90,7 +90,12 @@
 	Spent time.Duration
 	// AnswerLimit bounds the answer's body in bytes.
 	AnswerLimit int64
-	Request     *Request
+	// Tag is the caller's own name for the request, for logs; it may be empty.
+	Tag string
+	// KeepsAllowance is set where sub-calls have allowances of their own, since nothing
+	// ties them to the call: none of this one's is passed on with an attempt.
+	KeepsAllowance bool
+	Request        *Request
 }
 
 // Result is what a call came to: exactly one of Answer and Failure is set.
@@ -106,6 +111,10 @@
 	FailedBelow bool
 	// Feedback is the serving endpoint's load, nil if the call reached none.
 	Feedback *Feedback
+	// Endpoint is the node of the endpoint last tried, empty if there was none, and
+	// Attempts how many were tried. Only the node that sent the call knows them.
+	Endpoint string
+	Attempts int
 }
 
 // Feedback is an endpoint's own view of its load, sent with each answer.
--- a/internal/call/failure.go
+++ b/internal/call/failure.go
@@ -51,6 +51,7 @@
 	ClaimUnreachable   Reason = "claim-unreachable"
 	ClaimsFull         Reason = "claims-full"
 	SharesUnreachable  Reason = "shares-unreachable"
+	NoMemory           Reason = "no-memory"
 	Internal           Reason = "internal"
 	// BackendError is a reason of retries only: a whole answer with a 5xx status.
 	BackendError Reason = "backend-error"
@@ -62,7 +63,7 @@
 	SettingsStale, HandleUnknown, NoEndpoint, PeerUnreachable, PeerLost, Draining,
 	QueueFull, QueueTimeout, ShedAtEntry, ShedByBackend, BackendUnreachable,
 	BackendLost, AnswerTruncated, AnswerTooLarge, DeadlinePassed, Cancelled, Fenced,
-	RepeatRunning, RepeatUnknown, RepeatMismatch, ClaimUnreachable, ClaimsFull, SharesUnreachable, Internal,
+	RepeatRunning, RepeatUnknown, RepeatMismatch, ClaimUnreachable, ClaimsFull, SharesUnreachable, NoMemory, Internal,
 	BackendError,
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,6 +38,9 @@
 	AdminTokenSHA256 string `json:"adminTokenSha256"`
 	// DrainMs bounds a planned stop, in milliseconds; 0 means the default.
 	DrainMs int64 `json:"drainMs,omitempty"`
+	// Mesh is set where the node serves a VM of a service mesh. There are then no egress
+	// and admin listeners and no admin token.
+	Mesh *Mesh `json:"mesh,omitempty"`
 }
 
 // Listen gives the node's listeners as IP:port.
@@ -47,11 +50,11 @@
 	// Backend takes the announcements of the local backend servers.
 	Backend string `json:"backend"`
 	// Egress takes their sub-calls.
-	Egress string `json:"egress"`
+	Egress string `json:"egress,omitempty"`
 	// Peer serves other nodes.
 	Peer string `json:"peer"`
 	// Admin serves operators.
-	Admin string `json:"admin"`
+	Admin string `json:"admin,omitempty"`
 	// Metrics serves /metrics.
 	Metrics string `json:"metrics"`
 }
@@ -141,7 +144,7 @@
 
 // Validate checks the file; its error is an *Error that names the first fault.
 func (n *Node) Validate() error {
-	checks := []func() error{n.checkNames, n.checkListen, n.checkTLS, n.checkPlatform, n.checkContacts}
+	checks := []func() error{n.checkNames, n.checkListen, n.checkTLS, n.checkPlatform, n.checkContacts, n.checkMesh}
 	for _, check := range checks {
 		if err := check(); err != nil {
 			return err
@@ -159,7 +162,7 @@
 			return &Error{f.path, "is required"}
 		}
 	}
-	if len(n.AdminTokenSHA256) != 64 {
+	if n.Mesh == nil && len(n.AdminTokenSHA256) != 64 {
 		return &Error{"/adminTokenSha256", "want a SHA-256 in hexadecimal"}
 	}
 	if n.DrainMs < 0 {
@@ -176,6 +179,9 @@
 	}
 	seen := map[string]string{}
 	for _, l := range listeners {
+		if n.Mesh != nil && l.value == "" && (l.path == "/listen/egress" || l.path == "/listen/admin") {
+			continue
+		}
 		if _, err := netip.ParseAddrPort(l.value); err != nil {
 			return &Error{l.path, fmt.Sprintf("%q: want IP:port", l.value)}
 		}
--- a/internal/decide/budget/budget.go
+++ b/internal/decide/budget/budget.go
@@ -4,42 +4,54 @@
 
 import "sync/atomic"
 
-const (
-	// perSuccess is what a success adds, in thousandths of a retry.
-	perSuccess = 100
-	// perRetry is what a retry costs, in thousandths of a retry.
-	perRetry = 1000
-	// most bounds the budget, in thousandths of a retry.
-	most = 20_000
-)
+// milli is one retry in the unit of a budget.
+const milli = 1000
+
+// Limits say how many retries a destination gets.
+type Limits struct {
+	// PerSuccess is what a success adds, in retries.
+	PerSuccess float64
+	// Most gives what a budget holds at most, in retries; it is asked at each use.
+	Most func() float64
+}
+
+// Default are the limits where nothing else is said: one retry for ten successes, and
+// twenty without any.
+func Default() Limits {
+	return Limits{PerSuccess: 0.1, Most: func() float64 { return 20 }}
+}
 
 // Budget is the retries left for one destination.
 type Budget struct {
-	milli atomic.Int64
+	limits Limits
+	left   atomic.Int64
 }
 
 // New returns a full budget.
-func New() *Budget {
-	b := &Budget{}
-	b.milli.Store(most)
+func New(l Limits) *Budget {
+	b := &Budget{limits: l}
+	b.left.Store(b.most())
 	return b
 }
 
+func (b *Budget) most() int64 { return int64(b.limits.Most() * milli) }
+
 // Succeed records a call that succeeded.
 func (b *Budget) Succeed() {
-	if b.milli.Add(perSuccess) > most {
-		b.milli.Store(most)
+	most := b.most()
+	if b.left.Add(int64(b.limits.PerSuccess*milli)) > most {
+		b.left.Store(most)
 	}
 }
 
 // Take spends one retry and reports whether there was one.
 func (b *Budget) Take() bool {
 	for {
-		left := b.milli.Load()
-		if left < perRetry {
+		left := b.left.Load()
+		if left < milli {
 			return false
 		}
-		if b.milli.CompareAndSwap(left, left-perRetry) {
+		if b.left.CompareAndSwap(left, left-milli) {
 			return true
 		}
 	}
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -82,7 +82,7 @@
 }
 
 func TestBudgetDiesOutWithoutSuccess(t *testing.T) {
-	b := budget.New()
+	b := budget.New(budget.Default())
 	n := 0
 	for b.Take() {
 		n++
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -88,7 +88,7 @@
 		n.routes[w.d.routes[i].name] = &shed.Route{}
 	}
 	for _, s := range w.d.services {
-		n.budgets[s.name] = budget.New()
+		n.budgets[s.name] = budget.New(budget.Default())
 		for _, e := range w.byName[s.name] {
 			n.views[s.name] = append(n.views[s.name], newView(e))
 		}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,225 @@
+// Package ingress takes in the requests of callers and of the VM's own backend server
+// where both come to one listener: it finds the route, authenticates the key, holds the
+// account to its rate, chooses the service and sends the request on its way.
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/api/front"
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/entry"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/settings"
+)
+
+// settingsRetryAfter is what a caller is asked to wait for a node's first settings,
+// which take some calls to the platform.
+const settingsRetryAfter = 500 * time.Millisecond
+
+// Head is what a request's header says to the system itself.
+type Head struct {
+	// Attempt is the caller's name for this attempt.
+	Attempt string
+	// TimeLeft is how long the caller still waits, where HasTimeLeft is set.
+	TimeLeft    time.Duration
+	HasTimeLeft bool
+	// Key is the caller's key, empty if there is none or it is malformed.
+	Key string
+	// HasKey is set where a key was sent, also a malformed one.
+	HasKey bool
+}
+
+// Dialect is how callers write requests and read answers. It is safe for concurrent use.
+type Dialect interface {
+	// Read takes the system's own fields out of a request's header, which then is the
+	// header to send on.
+	Read(host string, h http.Header) (Head, *call.Failure)
+	// Answer returns the header of an answer as the caller gets it; it may change h.
+	Answer(h http.Header) http.Header
+	// Refuse returns the answer to a request that has none.
+	Refuse(attempt string, f *call.Failure) (status int, h http.Header, body []byte)
+}
+
+// Freshness says whether this node's settings can be trusted to be in force.
+type Freshness interface {
+	// Fresh returns a refusal while they cannot.
+	Fresh() *call.Failure
+	// Age is how long ago they were last known to be in force.
+	Age() time.Duration
+}
+
+// Handler answers requests. It implements front.Handler and is safe for concurrent use.
+type Handler struct {
+	clock      clock.Clock
+	views      entry.Views
+	freshness  Freshness
+	shares     entry.Shares
+	dispatcher entry.Dispatcher
+	dialect    Dialect
+	splits     splits
+	metric     *metric.Set
+	seconds    *metrics.Histogram
+	log        zerolog.Logger
+}
+
+// New returns a handler.
+func New(c clock.Clock, v entry.Views, f Freshness, s entry.Shares, d entry.Dispatcher, dialect Dialect, m *metric.Set, log zerolog.Logger) *Handler {
+	return &Handler{
+		clock: c, views: v, freshness: f, shares: s, dispatcher: d, dialect: dialect,
+		metric: m, seconds: m.Histogram("comfreycart_request_seconds"), log: log,
+	}
+}
+
+// request is one request on its way.
+type request struct {
+	begin   clock.Time
+	head    Head
+	view    *settings.View
+	route   *settings.CompiledRoute
+	account string
+	service string
+}
+
+// Serve implements front.Handler.
+func (h *Handler) Serve(ctx context.Context, r *front.Request) *front.Reply {
+	x := &request{begin: h.clock.Now()}
+	result := h.serve(ctx, x, r)
+	metric.Observe(h.seconds, h.clock.Now().Sub(x.begin))
+	if result.Failure != nil {
+		h.metric.Refused(result.Failure.Reason)
+		status, header, body := h.dialect.Refuse(x.head.Attempt, result.Failure)
+		h.note(x, &result, status)
+		return &front.Reply{Status: status, Header: header, Body: body}
+	}
+	h.note(x, &result, result.Answer.Status)
+	return &front.Reply{
+		Status: result.Answer.Status, Header: h.dialect.Answer(result.Answer.Header), Body: result.Answer.Body,
+	}
+}
+
+// Refuse implements front.Handler.
+func (h *Handler) Refuse(status int, detail string) *front.Reply {
+	f := call.Refuse(unreadableReason(status), "%s", detail)
+	h.metric.Refused(f.Reason)
+	h.log.Info().Int("status", status).Str("detail", detail).Msg("request not read")
+	_, header, body := h.dialect.Refuse("", f)
+	return &front.Reply{Status: status, Header: header, Body: body}
+}
+
+func unreadableReason(status int) call.Reason {
+	switch status {
+	case http.StatusRequestEntityTooLarge:
+		return call.BodyTooLarge
+	case http.StatusServiceUnavailable:
+		return call.NoMemory
+	}
+	return call.BadRequest
+}
+
+func (h *Handler) serve(ctx context.Context, x *request, r *front.Request) call.Result {
+	var f *call.Failure
+	if x.head, f = h.dialect.Read(r.Host, r.Header); f != nil {
+		return call.Result{Failure: f}
+	}
+	if f := h.admit(ctx, x, r); f != nil {
+		return call.Result{Failure: f}
+	}
+	timeout := x.route.Deadline
+	if x.head.HasTimeLeft {
+		timeout = min(timeout, x.head.TimeLeft)
+	}
+	c := h.call(x, r)
+	c.Deadline = x.begin.Add(timeout)
+	if !h.clock.Now().Before(c.Deadline) {
+		return call.Result{Failure: call.Refuse(call.DeadlinePassed, "the deadline passed before the request was sent on")}
+	}
+	return h.dispatcher.Do(ctx, c)
+}
+
+// admit checks a request against the settings in force. A refused request does not run.
+func (h *Handler) admit(ctx context.Context, x *request, r *front.Request) *call.Failure {
+	x.view = h.views.View()
+	if x.view == nil {
+		return call.Refuse(call.SettingsMissing, "the node has no settings yet").After(settingsRetryAfter)
+	}
+	path, _, _ := strings.Cut(r.Target, "?")
+	var ok bool
+	if x.route, ok = x.view.HostRoute(r.Host, path); !ok {
+		return call.Refuse(call.NoRoute, "no route matches the host and path")
+	}
+	x.service = h.splits.choose(x.route)
+	if x.route.Open {
+		return nil
+	}
+	if f := h.freshness.Fresh(); f != nil {
+		return f
+	}
+	if x.account, ok = x.view.Account(x.head.Key); !ok {
+		return call.Refuse(call.KeyUnknown, "the key is unknown or was withdrawn")
+	}
+	if x.view.Accounts[x.account].Rate == 0 {
+		return nil
+	}
+	if f := h.shares.Take(ctx, x.view, x.account); f != nil {
+		return f
+	}
+	return h.freshness.Fresh()
+}
+
+// call returns the call for an admitted request. A request without a key, on a route
+// that needs none, is taken for a sub-call of a request that is under way.
+func (h *Handler) call(x *request, r *front.Request) *call.Call {
+	depth := 0
+	if x.route.Open && !x.head.HasKey {
+		depth = 1
+	}
+	return &call.Call{
+		ID:             call.NewID(),
+		Account:        x.account,
+		Service:        x.service,
+		Route:          x.route.Name,
+		Priority:       x.view.Priority(x.route, x.account),
+		Idempotent:     x.route.Idempotent,
+		Allowance:      x.route.Retries,
+		KeepsAllowance: true,
+		Depth:          depth,
+		AnswerLimit:    x.route.AnswerLimitBytes,
+		Tag:            x.head.Attempt,
+		Request:        &call.Request{Method: r.Method, Path: r.Target, Header: r.Header, Body: r.Body},
+	}
+}
+
+// note logs what became of a request, with what decided it.
+func (h *Handler) note(x *request, r *call.Result, status int) {
+	e := h.log.Info().Str("request", x.head.Attempt).Int("status", status).
+		Dur("ms", h.clock.Now().Sub(x.begin))
+	if x.view != nil {
+		e = e.Uint64("settings", x.view.Version).Dur("settings_age_ms", h.freshness.Age())
+	}
+	if x.route != nil {
+		e = e.Str("route", x.route.Name).Str("service", x.service)
+	}
+	if x.account != "" {
+		e = e.Str("account", x.account)
+	}
+	if r.Attempts > 0 {
+		e = e.Str("endpoint", r.Endpoint).Int("attempts", r.Attempts)
+	}
+	if r.Failure == nil {
+		e.Msg("request answered")
+		return
+	}
+	e = e.Str("reason", string(r.Failure.Reason)).Str("outcome", string(r.Failure.Outcome)).Str("detail", r.Failure.Detail)
+	if r.Failure.RetryAfter > 0 {
+		e = e.Dur("retry_after_ms", r.Failure.RetryAfter)
+	}
+	e.Msg("request failed")
+}
--- /dev/null
+++ b/internal/node/mesh.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/api"
+	"comfreycart.dev/comfreycart/internal/api/announce"
+	"comfreycart.dev/comfreycart/internal/api/front"
+	"comfreycart.dev/comfreycart/internal/api/ready"
+	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/peer"
+	"comfreycart.dev/comfreycart/internal/system"
+	"comfreycart.dev/comfreycart/internal/system/document"
+	"comfreycart.dev/comfreycart/internal/system/fence"
+	"comfreycart.dev/comfreycart/internal/system/lease"
+	"comfreycart.dev/comfreycart/internal/system/membership"
+	"comfreycart.dev/comfreycart/internal/system/serve"
+	"comfreycart.dev/comfreycart/internal/system/shares"
+	"comfreycart.dev/comfreycart/internal/tcp"
+	"comfreycart.dev/comfreycart/platform"
+)
+
+// Mesh is a node of a service mesh. Its fields are provided by wire.
+type Mesh struct {
+	Config     *config.Node
+	Log        zerolog.Logger
+	Metric     *metric.Set
+	Front      *front.Server
+	Announce   *announce.Handler
+	Ready      *ready.Handler
+	PeerServer *peer.Server
+	PeerClient *peer.Client
+	Follower   *document.Follower
+	Membership *membership.Manager
+	Leases     *lease.Manager
+	Shares     *shares.Manager
+	Fences     *fence.Table
+	Server     *serve.Server
+
+	callers net.Listener
+	servers []*http.Server
+	wg      sync.WaitGroup
+}
+
+// Run serves until ctx ends, then makes a planned stop and returns nil. An error means
+// that the node could not start.
+func (n *Mesh) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer n.wg.Wait()
+	defer stop()
+	if err := n.start(background); err != nil {
+		n.closeListeners()
+		return err
+	}
+	n.Log.Info().Str("service", n.Config.Mesh.Service).Str("domain", n.Config.Domain).Msg("node started")
+	<-ctx.Done()
+	n.Log.Info().Dur("bound_ms", n.Config.Mesh.Stop()).Msg("planned stop")
+	n.stop()
+	n.Log.Info().Msg("node stopped")
+	return nil
+}
+
+func (n *Mesh) start(ctx context.Context) error {
+	peers, err := tcp.Listen(ctx, n.Config.Listen.Peer)
+	if err != nil {
+		return trace.Wrap(err, "listening at /listen/peer")
+	}
+	n.spawn(func() { _ = n.PeerServer.Serve(ctx, peers) })
+	if err := n.listen(ctx); err != nil {
+		return err
+	}
+	n.spawn(func() { n.Follower.Run(ctx) })
+	n.spawn(func() { n.Membership.Run(ctx) })
+	n.spawn(func() { n.Leases.Run(ctx) })
+	n.spawn(func() { n.Shares.Run(ctx) })
+	n.spawn(func() { system.Every(ctx, expiryInterval, n.Fences.Expire) })
+	return nil
+}
+
+func (n *Mesh) listen(ctx context.Context) error {
+	var err error
+	if n.callers, err = tcp.Listen(ctx, n.Config.Listen.Caller); err != nil {
+		return trace.Wrap(err, "listening at /listen/caller")
+	}
+	n.spawn(func() {
+		if err := n.Front.Serve(n.callers); err != nil {
+			n.Log.Error().Err(err).Msg("callers' listener ended")
+		}
+	})
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.Metric.Write(w) })
+	listeners := []struct {
+		path, address string
+		handler       http.Handler
+	}{
+		{"/listen/backend", n.Config.Listen.Backend, n.Announce.Routes()},
+		{"/mesh/ready", n.Config.Mesh.Ready, n.Ready.Routes(platform.PathReady)},
+		{"/listen/metrics", n.Config.Listen.Metrics, mux},
+	}
+	for _, x := range listeners {
+		lis, err := tcp.Listen(ctx, x.address)
+		if err != nil {
+			return trace.Wrap(err, "listening at %s", x.path)
+		}
+		server := api.NewServer(x.handler)
+		n.servers = append(n.servers, server)
+		n.spawn(func() { n.serve(server, lis) })
+	}
+	return nil
+}
+
+func (n *Mesh) serve(s *http.Server, lis net.Listener) {
+	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		n.Log.Error().Err(err).Stringer("address", lis.Addr()).Msg("listener ended")
+	}
+}
+
+func (n *Mesh) closeListeners() {
+	if n.callers != nil {
+		_ = n.callers.Close()
+	}
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+}
+
+func (n *Mesh) spawn(f func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+}
+
+const (
+	// stopNotice is how long a stopping node goes on accepting callers: the platform
+	// asks twice, a second apart, before it sends them elsewhere.
+	stopNotice = 2500 * time.Millisecond
+	// stopMargin is kept for closing when requests take all of the time.
+	stopMargin = 400 * time.Millisecond
+	// idlePoll is how often a stopping node looks for connections that became idle.
+	idlePoll = 50 * time.Millisecond
+)
+
+// stop is the planned stop, within the configured bound. Callers are served until the
+// platform has sent them elsewhere; other nodes are told at once to send calls elsewhere.
+func (n *Mesh) stop() {
+	bound := n.Config.Mesh.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), bound-stopMargin)
+	defer cancel()
+	n.Ready.Stop()
+	n.Front.Stop()
+	notice := time.After(min(stopNotice, bound/noticeParts*2))
+	n.Leases.Leave(ctx)
+	n.Server.Drain()
+	n.Membership.Leave(ctx)
+	<-notice
+	_ = n.callers.Close()
+	for n.Front.CloseIdle() > 0 && ctx.Err() == nil {
+		pause(ctx, idlePoll)
+	}
+	n.Server.Idle(ctx)
+	n.PeerServer.CloseConnections(ctx)
+	n.Shares.Release(ctx)
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	_ = n.PeerClient.Close()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"comfreycart.dev/comfreycart/internal/system/serve"
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
 	"comfreycart.dev/comfreycart/internal/system/shares"
+	"comfreycart.dev/comfreycart/internal/tcp"
 )
 
 const (
@@ -84,7 +85,7 @@
 }
 
 func (n *Node) start(ctx context.Context) error {
-	peerListener, err := net.Listen("tcp", n.Config.Listen.Peer)
+	peerListener, err := tcp.Listen(ctx, n.Config.Listen.Peer)
 	if err != nil {
 		return trace.Wrap(err, "listening at /listen/peer")
 	}
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -22,6 +22,7 @@
 	"comfreycart.dev/comfreycart/internal/system/serve"
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
 	"comfreycart.dev/comfreycart/internal/table"
+	adapter "comfreycart.dev/comfreycart/platform"
 )
 
 func provideSelf(c *config.Node) dispatch.Self {
@@ -44,8 +45,18 @@
 	return s.Client(), nil
 }
 
+// provideLocals returns the table of the VM's backend servers.
+func provideLocals(c *config.Node) *table.Locals {
+	if c.Mesh != nil {
+		return table.NewLocals(c.Mesh.Silence())
+	}
+	return table.NewLocals(table.HeartbeatTimeout)
+}
+
+func provideDialect() serve.Dialect { return &serve.Own{} }
+
 func provideStore(c *config.Node) platform.Store {
-	return platform.NewClient(c.Platform.URL, c.PlatformTimeout())
+	return adapter.NewStore(c.Platform.URL, c.PlatformTimeout())
 }
 
 func provideFollowerOptions(c *config.Node) settingsync.Options {
--- /dev/null
+++ b/internal/node/provide_mesh.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/api/announce"
+	"comfreycart.dev/comfreycart/internal/api/front"
+	"comfreycart.dev/comfreycart/internal/api/ready"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/internal/decide/budget"
+	"comfreycart.dev/comfreycart/internal/ingress"
+	"comfreycart.dev/comfreycart/internal/metric"
+	store "comfreycart.dev/comfreycart/internal/platform"
+	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/system/dispatch"
+	"comfreycart.dev/comfreycart/internal/system/document"
+	"comfreycart.dev/comfreycart/internal/system/lease"
+	"comfreycart.dev/comfreycart/internal/system/membership"
+	"comfreycart.dev/comfreycart/internal/system/serve"
+	"comfreycart.dev/comfreycart/internal/system/settingsync"
+	"comfreycart.dev/comfreycart/internal/table"
+	"comfreycart.dev/comfreycart/platform"
+)
+
+const (
+	// bodyPart is the part of the process's memory that callers' bodies may take.
+	bodyPart = 4
+	// A retry runs a request's sub-calls again, which count as retries at their
+	// services; with chains of four hops these parts of the bound keep every service
+	// within it.
+	retryRatioPart   = 0.35
+	retryReservePart = 0.5
+)
+
+// provideMeshSelf names this start of the node. Its incarnation exceeds that of the
+// start before also if the time of day was set back meanwhile.
+func provideMeshSelf(c *config.Node, s store.Store, log zerolog.Logger) dispatch.Self {
+	now := uint64(time.Now().UnixNano())
+	ctx, cancel := context.WithTimeout(context.Background(), c.PlatformTimeout())
+	defer cancel()
+	before, err := membership.LastIncarnation(ctx, s, c.Deployment, c.ID)
+	if err != nil {
+		log.Warn().Err(err).Msg("incarnation of the start before is unknown")
+	}
+	return dispatch.Self{ID: c.ID, Domain: c.Domain, Incarnation: max(now, before+1)}
+}
+
+func provideDocumentOptions(c *config.Node) document.Options {
+	return document.Options{
+		Table: platform.OperatorTable, Row: platform.OperatorRow, Decode: platform.Document,
+		Domains: c.Mesh.Domains, KeyStaleness: c.Mesh.KeyStaleness(),
+	}
+}
+
+func provideMeshDialect() serve.Dialect { return platform.Backend{} }
+
+func provideCallerDialect(c *config.Node) ingress.Dialect {
+	return platform.Caller{Service: c.Mesh.Service}
+}
+
+// provideRetries gives this node its part of the retries that a service may get from
+// all nodes.
+func provideRetries(c *config.Node, members *table.Members) budget.Limits {
+	ratio := c.Mesh.RetryRatio
+	if ratio == 0 {
+		ratio = config.DefaultRetryRatio
+	}
+	return budget.Limits{
+		PerSuccess: retryRatioPart * ratio,
+		Most: func() float64 {
+			return retryReservePart * c.Mesh.RetryReserve / float64(max(1, members.Len()))
+		},
+	}
+}
+
+func provideAnnounce(c *config.Node, clk clock.Clock, l *table.Locals, s *serve.Server, m *metric.Set, log zerolog.Logger) *announce.Handler {
+	e := announce.Expected{Service: c.Mesh.Service, Address: c.Mesh.Backend}
+	return announce.New(e, platform.PathAnnounce, platform.Announcements{}, clk, l, s, m, log)
+}
+
+func provideReady(c *config.Node, cur *settingsync.Current, f *document.Follower, log zerolog.Logger) *ready.Handler {
+	return ready.New(cur, f, c.Mesh.ReadyStaleness(), log)
+}
+
+func provideFront(c *config.Node, cur *settingsync.Current, h *ingress.Handler, m *metric.Set, log zerolog.Logger) *front.Server {
+	limits := func() settings.Limits {
+		if v := cur.View(); v != nil {
+			return v.Limits
+		}
+		return settings.DefaultLimits
+	}
+	o := front.Options{Limits: limits, Single: platform.SingleHeaders, BodyBytes: c.Mesh.Memory() / bodyPart}
+	return front.New(o, h, m, log)
+}
+
+func provideLeases(self dispatch.Self, c *config.Node, clk clock.Clock, s store.Store, m *table.Members, log zerolog.Logger) *lease.Manager {
+	return lease.New(self, c.Deployment, clk, s, m, log)
+}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -10,13 +10,17 @@
 	"comfreycart.dev/comfreycart/internal/api/egress"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/internal/decide/budget"
 	"comfreycart.dev/comfreycart/internal/entry"
+	"comfreycart.dev/comfreycart/internal/ingress"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
 	"comfreycart.dev/comfreycart/internal/system/claims"
 	"comfreycart.dev/comfreycart/internal/system/dispatch"
 	"comfreycart.dev/comfreycart/internal/system/fence"
+	"comfreycart.dev/comfreycart/internal/system/document"
 	"comfreycart.dev/comfreycart/internal/system/homes"
+	"comfreycart.dev/comfreycart/internal/system/lease"
 	"comfreycart.dev/comfreycart/internal/system/membership"
 	"comfreycart.dev/comfreycart/internal/system/serve"
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
@@ -33,8 +37,8 @@
 		provideBackend, provideAdmin, provideStatus,
 		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
 		wire.Struct(new(settingsync.Current)),
-		metric.NewSet,
-		table.NewCalls, table.NewLocals, table.NewMembers, table.NewEndpoints,
+		metric.NewSet, provideDialect, budget.Default,
+		table.NewCalls, provideLocals, table.NewMembers, table.NewEndpoints,
 		homes.New, fence.New, serve.New, dispatch.New, membership.New, membership.NewTransport, shares.New, claims.New, claims.NewRunner,
 		entry.New, caller.New, egress.New,
 		peer.NewClient, peer.NewServer,
@@ -61,3 +65,35 @@
 	)
 	return nil, nil
 }
+
+// NewMesh puts a mesh's node together; Run starts it.
+func NewMesh(c *config.Node, log BaseLog) (*Mesh, error) {
+	wire.Build(
+		wire.Struct(new(Mesh), "Config", "Log", "Metric", "Front", "Announce", "Ready",
+			"PeerServer", "PeerClient", "Follower", "Membership", "Leases", "Shares", "Fences", "Server"),
+		provideLog, provideMeshSelf, provideSource, providePeerTLS, provideStore, provideDocumentOptions, document.New, provideMembershipOptions,
+		provideMeshDialect, provideCallerDialect, provideRetries, provideAnnounce, provideReady, provideFront, provideLeases,
+		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
+		wire.Struct(new(settingsync.Current)),
+		metric.NewSet,
+		table.NewCalls, provideLocals, table.NewMembers, table.NewEndpoints,
+		fence.New, serve.New, dispatch.New, membership.New, membership.NewTransport, shares.New,
+		ingress.New,
+		peer.NewClient, peer.NewServer, wire.Value(peer.Unserved{}),
+		wire.Bind(new(entry.Views), new(*settingsync.Current)),
+		wire.Bind(new(ingress.Freshness), new(*document.Follower)),
+		wire.Bind(new(shares.Views), new(*settingsync.Current)),
+		wire.Bind(new(shares.Homes), new(*lease.Manager)),
+		wire.Bind(new(shares.Fence), new(*lease.Manager)),
+		wire.Bind(new(shares.Peers), new(*peer.Client)),
+		wire.Bind(new(entry.Shares), new(*shares.Manager)),
+		wire.Bind(new(entry.Dispatcher), new(*dispatch.Dispatcher)),
+		wire.Bind(new(dispatch.Peers), new(*peer.Client)),
+		wire.Bind(new(dispatch.Local), new(*serve.Server)),
+		wire.Bind(new(peer.Syncer), new(*membership.Manager)),
+		wire.Bind(new(peer.SettingsSource), new(peer.Unserved)),
+		wire.Bind(new(peer.ShareHome), new(*shares.Manager)),
+		wire.Bind(new(peer.ClaimHome), new(peer.Unserved)),
+	)
+	return nil, nil
+}
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -11,11 +11,14 @@
 	"comfreycart.dev/comfreycart/internal/api/egress"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/internal/decide/budget"
 	"comfreycart.dev/comfreycart/internal/entry"
+	"comfreycart.dev/comfreycart/internal/ingress"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
 	"comfreycart.dev/comfreycart/internal/system/claims"
 	"comfreycart.dev/comfreycart/internal/system/dispatch"
+	"comfreycart.dev/comfreycart/internal/system/document"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/system/homes"
 	"comfreycart.dev/comfreycart/internal/system/membership"
@@ -50,10 +53,12 @@
 	sharesManager := shares.New(self, boot, current, manager, follower, client, set)
 	claimsManager := claims.New(self, boot, manager, client, current, set)
 	calls := table.NewCalls()
-	locals := table.NewLocals()
+	locals := provideLocals(c)
 	fenceTable := fence.New(boot)
-	server := serve.New(boot, calls, locals, fenceTable, set)
-	dispatcher := dispatch.New(self, boot, endpoints, client, server, set)
+	dialect := provideDialect()
+	server := serve.New(boot, calls, locals, fenceTable, dialect, set)
+	limits := budget.Default()
+	dispatcher := dispatch.New(self, boot, endpoints, client, server, limits, set)
 	runner := claims.NewRunner(claimsManager, dispatcher)
 	gate := entry.New(boot, current, follower, sharesManager, runner)
 	handler := caller.New(gate, set, logger)
@@ -85,3 +90,63 @@
 	}
 	return node, nil
 }
+
+// NewMesh puts a mesh's node together; Run starts it.
+func NewMesh(c *config.Node, log BaseLog) (*Mesh, error) {
+	current := &settingsync.Current{}
+	logger := provideLog(log, current)
+	set := metric.NewSet()
+	boot := clock.Boot{}
+	options := provideDocumentOptions(c)
+	store := provideStore(c)
+	follower := document.New(options, boot, store, current, set, logger)
+	self := provideMeshSelf(c, store, logger)
+	endpoints := table.NewEndpoints(boot)
+	members := table.NewMembers(boot, endpoints)
+	manager := provideLeases(self, c, boot, store, members, logger)
+	source := provideSource(c)
+	tlsConfig, err := providePeerTLS(c, logger)
+	if err != nil {
+		return nil, err
+	}
+	client := peer.NewClient(boot, source, tlsConfig)
+	sharesManager := shares.New(self, boot, current, manager, manager, client, set)
+	calls := table.NewCalls()
+	locals := provideLocals(c)
+	fenceTable := fence.New(boot)
+	dialect := provideMeshDialect()
+	server := serve.New(boot, calls, locals, fenceTable, dialect, set)
+	limits := provideRetries(c, members)
+	dispatcher := dispatch.New(self, boot, endpoints, client, server, limits, set)
+	ingressDialect := provideCallerDialect(c)
+	handler := ingress.New(boot, current, follower, sharesManager, dispatcher, ingressDialect, set, logger)
+	frontServer := provideFront(c, current, handler, set, logger)
+	announceHandler := provideAnnounce(c, boot, locals, server, set, logger)
+	readyHandler := provideReady(c, current, follower, logger)
+	membershipOptions := provideMembershipOptions(c, self)
+	transport := membership.NewTransport(client)
+	membershipManager := membership.New(membershipOptions, boot, members, endpoints, locals, transport, store, set, logger)
+	unserved := _wireUnservedValue
+	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, unserved, sharesManager, unserved)
+	mesh := &Mesh{
+		Config:     c,
+		Log:        logger,
+		Metric:     set,
+		Front:      frontServer,
+		Announce:   announceHandler,
+		Ready:      readyHandler,
+		PeerServer: peerServer,
+		PeerClient: client,
+		Follower:   follower,
+		Membership: membershipManager,
+		Leases:     manager,
+		Shares:     sharesManager,
+		Fences:     fenceTable,
+		Server:     server,
+	}
+	return mesh, nil
+}
+
+var (
+	_wireUnservedValue = peer.Unserved{}
+)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -21,10 +21,12 @@
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/peer/peerpb"
 	"comfreycart.dev/comfreycart/internal/table"
+	"comfreycart.dev/comfreycart/internal/tcp"
 )
 
 const (
-	dialTimeout = time.Second
+	// dialTimeout leaves a request with the usual target time for another endpoint.
+	dialTimeout = 500 * time.Millisecond
 	// idlePerPeer and idleInAll bound the connections kept without a call.
 	idlePerPeer = 64
 	idleInAll   = 4096
@@ -45,11 +47,7 @@
 
 // NewClient returns a client without connections; secure is nil for plain TCP.
 func NewClient(c clock.Clock, source Source, secure *tls.Config) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	if ip := netip.Addr(source); ip.IsValid() && !ip.IsUnspecified() {
-		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))
-	}
-	return &Client{clock: c, dialer: dialer, tls: secure, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+	return &Client{clock: c, dialer: tcp.Dialer(netip.Addr(source), dialTimeout), tls: secure, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  idleExpiry,
 		Capacity:    idleInAll,
 		KeyCapacity: idlePerPeer,
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -28,6 +28,7 @@
 		SpentUs:          c.Spent.Microseconds(),
 		AnswerLimitBytes: c.AnswerLimit,
 		Incarnation:      incarnation,
+		Tag:              c.Tag,
 		Request: &peerpb.Request{
 			Method:   c.Request.Method,
 			Path:     c.Request.Path,
@@ -55,6 +56,7 @@
 		Depth:       int(p.Depth),
 		Spent:       time.Duration(p.SpentUs) * time.Microsecond,
 		AnswerLimit: p.AnswerLimitBytes,
+		Tag:         p.Tag,
 		Request: &call.Request{
 			Method:   p.Request.Method,
 			Path:     p.Request.Path,
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -9,9 +9,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Row is one table row. Version grows with each write, also over a deletion, and is never 0.
+// A key's part before its first slash names the table that holds the row.
 type Row struct {
 	Key     string `json:"key"`
 	Value   []byte `json:"value"`
@@ -43,9 +45,27 @@
 	Get(ctx context.Context, key string) (Row, error)
 	// Scan returns all rows whose key begins with prefix, in key order.
 	Scan(ctx context.Context, prefix string) ([]Row, error)
-	// Transact applies tx. An Error of kind Conflict means that it was not
+	// Transact applies tx and returns the version of the rows that it wrote. An Error of kind Conflict means that it was not
 	// applied; one of kind Unavailable that it may have been.
-	Transact(ctx context.Context, tx Tx) error
+	Transact(ctx context.Context, tx Tx) (uint64, error)
+}
+
+// Changes are the rows of a table that changed after a version.
+type Changes struct {
+	// Rows holds the newest state of each changed row that still exists.
+	Rows []Row
+	// Removed holds the keys of the rows that were deleted.
+	Removed []string
+	// Version is where the next question continues.
+	Version uint64
+}
+
+// Feed tells of changes to tables.
+type Feed interface {
+	// Watch returns what changed in a table after a version. It waits for the first
+	// change at most wait, and then returns none. An Error of kind Expired means that
+	// the history is gone and the rows must be read anew.
+	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
 }
 
 // Objects is the object store. Objects are immutable once put.
@@ -58,6 +78,7 @@
 // Store is the whole platform service. It is safe for concurrent use.
 type Store interface {
 	Table
+	Feed
 	Objects
 }
 
@@ -72,9 +93,11 @@
 	NotFound
 	// Conflict: a condition did not hold; nothing was written.
 	Conflict
+	// Expired: the history asked for is no longer kept.
+	Expired
 )
 
-var kindNames = [...]string{"unavailable", "not found", "conflict"}
+var kindNames = [...]string{"unavailable", "not found", "conflict", "history expired"}
 
 // Error is the only error type that a Store returns.
 type Error struct {
--- a/internal/settings/view.go
+++ b/internal/settings/view.go
@@ -19,6 +19,16 @@
 	Accounts map[string]Account
 	// IdempotencyWindow is how long a repeat is recognized.
 	IdempotencyWindow time.Duration
+	// Limits bound callers' requests where the settings are a Document.
+	Limits Limits
+	// Domains are the failure domains that share the accounts' tokens, where they are
+	// fixed; otherwise they are those that have homes.
+	Domains []string
+
+	// hosts has the routes of a Document by host, those with the longest prefix first.
+	hosts map[string][]*CompiledRoute
+	// priorities has the accounts of a Document that have one of their own.
+	priorities map[string]call.Priority
 
 	keys   map[[sha256.Size]byte]string
 	routes map[routeKey]*CompiledRoute
@@ -33,6 +43,10 @@
 	Route
 	Level    call.Priority
 	Deadline time.Duration
+	// Target is the time within which an answer is worth most, 0 if unknown.
+	Target time.Duration
+	// Parts are the services among which requests are split; empty means Service alone.
+	Parts []Part
 }
 
 // Compile turns a valid tree into a view.
--- a/internal/system/dispatch/budget.go
+++ b/internal/system/dispatch/budget.go
@@ -11,6 +11,7 @@
 // budgets bounds the retries to each service. It is safe for concurrent use.
 type budgets struct {
 	metric *metric.Set
+	limits budget.Limits
 	rows   sync.Map
 }
 
@@ -18,7 +19,7 @@
 	if x, ok := b.rows.Load(service); ok {
 		return x.(*budget.Budget)
 	}
-	x, _ := b.rows.LoadOrStore(service, budget.New())
+	x, _ := b.rows.LoadOrStore(service, budget.New(b.limits))
 	return x.(*budget.Budget)
 }
 
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/decide/budget"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/table"
 )
@@ -46,10 +47,10 @@
 }
 
 // New returns a dispatcher for the endpoints.
-func New(self Self, c clock.Clock, e *table.Endpoints, p Peers, l Local, m *metric.Set) *Dispatcher {
+func New(self Self, c clock.Clock, e *table.Endpoints, p Peers, l Local, retries budget.Limits, m *metric.Set) *Dispatcher {
 	return &Dispatcher{
 		self: self, clock: c, endpoints: e, peers: p, local: l, metric: m,
-		sheds: sheds{clock: c, metric: m}, budgets: budgets{metric: m},
+		sheds: sheds{clock: c, metric: m}, budgets: budgets{metric: m, limits: retries},
 	}
 }
 
@@ -71,9 +72,10 @@
 			return d.exhausted(last, c, left)
 		}
 		tried = append(tried, e)
-		kept := kept(left)
+		kept := kept(c, left)
 		last = d.send(ctx, e, c, left-kept)
 		last.Unused += kept
+		last.Endpoint, last.Attempts = e.Node, len(tried)
 		if ran {
 			last = doubt(last)
 		}
--- a/internal/system/dispatch/property_test.go
+++ b/internal/system/dispatch/property_test.go
@@ -10,6 +10,7 @@
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/decide/budget"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/table"
@@ -120,7 +121,7 @@
 			Service: "s", Idempotent: n.coin("idempotent"), Deadline: clk.Now().Add(time.Hour),
 			Allowance: rapid.IntRange(0, 3).Draw(t, "allowance"),
 		}
-		r := New(Self{ID: "a"}, clk, endpoints, n, nil, metric.NewSet()).Do(context.Background(), c)
+		r := New(Self{ID: "a"}, clk, endpoints, n, nil, budget.Default(), metric.NewSet()).Do(context.Background(), c)
 		n.flush()
 		require.LessOrEqual(t, n.starts, 1+c.Allowance, "runs above the allowance")
 		require.LessOrEqual(t, n.sends, 1+c.Allowance+maxMoves, "sends above all bounds")
--- a/internal/system/dispatch/retry.go
+++ b/internal/system/dispatch/retry.go
@@ -17,7 +17,12 @@
 
 // kept is the part of an allowance that a hop does not pass on with an attempt: one
 // retry, if one is left for the hops below. A lost answer takes along what was passed on.
-func kept(left int) int { return min(1, left/2) }
+func kept(c *call.Call, left int) int {
+	if c.KeepsAllowance {
+		return left
+	}
+	return min(1, left/2)
+}
 
 // moved reports whether the endpoint was gone or its connection was closed, so that
 // turning elsewhere costs no allowance: a planned stop cuts no request, also on routes without retries. Such a
--- /dev/null
+++ b/internal/system/document/document.go
@@ -0,0 +1,216 @@
+// Package document keeps the node at the settings that operators keep as one document
+// at the platform, and knows how fresh they are.
+//
+// The platform acknowledges an operator's change; from then on the time counts in which
+// it must be in force here. So the node watches the document's row and never shows an
+// older version than one it has shown.
+package document
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/platform"
+	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/system/settingsync"
+)
+
+const (
+	// watchTime is how long one watch waits for a change. With the time of a call it
+	// stays well below the bound in which a change must be in force, also where a watch
+	// was asked on a connection that has fallen silent.
+	watchTime = 900 * time.Millisecond
+	// firstPause and longestPause are the pauses between questions while the platform
+	// gives no answer; refused questions are charged too.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+	// pauseMargin covers a pause of the process between the look at the age and the
+	// first byte that is sent on, and the clocks' drift.
+	pauseMargin = 500 * time.Millisecond
+	// staleRetryAfter is what a caller is asked to wait while the settings are stale.
+	staleRetryAfter = time.Second
+)
+
+// Options are what a Follower needs to know.
+type Options struct {
+	// Table holds the document's row, and Row is the row's key.
+	Table, Row string
+	// Decode decodes a document without checking it.
+	Decode func([]byte) (*settings.Document, error)
+	// Domains are the failure domains of the deployment.
+	Domains []string
+	// KeyStaleness is how long a withdrawn key may still work.
+	KeyStaleness time.Duration
+}
+
+// Follower follows the document. It is safe for concurrent use.
+type Follower struct {
+	Options
+	clock   clock.Clock
+	store   platform.Store
+	current *settingsync.Current
+	log     zerolog.Logger
+	invalid *metrics.Counter
+
+	// confirmed is when the question was asked that last showed the settings to be in
+	// force; 0 before the first.
+	confirmed atomic.Int64
+
+	mu sync.Mutex
+	// row is the newest version of the row that was seen, valid whether it is in force.
+	row   uint64
+	valid bool
+	lost  bool
+}
+
+// New returns a follower that installs into current.
+func New(o Options, c clock.Clock, s platform.Store, cur *settingsync.Current, m *metric.Set, log zerolog.Logger) *Follower {
+	f := &Follower{
+		Options: o, clock: c, store: s, current: cur, log: log,
+		invalid: m.Counter("comfreycart_invalid_settings_total"),
+	}
+	m.Gauge("comfreycart_settings_staleness_seconds", func() float64 { return f.Age().Seconds() })
+	m.Gauge("comfreycart_settings_version", func() float64 {
+		if v := cur.View(); v != nil {
+			return float64(v.Version)
+		}
+		return 0
+	})
+	return f
+}
+
+// Age is how long ago the settings were last known to be in force, counted from before
+// that was asked. Before the first answer it is the time since boot.
+func (f *Follower) Age() time.Duration {
+	return f.clock.Now().Sub(clock.Time(f.confirmed.Load()))
+}
+
+// Fresh returns a refusal while a key may have been withdrawn for too long without this
+// node's knowledge.
+func (f *Follower) Fresh() *call.Failure {
+	age := f.Age()
+	if age < f.KeyStaleness-pauseMargin {
+		return nil
+	}
+	return call.Refuse(call.SettingsStale, "the settings were last confirmed %d ms ago", age.Milliseconds()).After(staleRetryAfter)
+}
+
+// Run follows the document until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := f.Step(ctx)
+		if err == nil {
+			pause = firstPause
+			continue
+		}
+		if platform.IsKind(err, platform.Expired) {
+			f.forget()
+			continue
+		}
+		f.noteLost(err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+// Step asks once: for the row if none is known, otherwise for its next change.
+func (f *Follower) Step(ctx context.Context) error {
+	asked := f.clock.Now()
+	f.mu.Lock()
+	after := f.row
+	f.mu.Unlock()
+	if after == 0 {
+		row, err := f.store.Get(ctx, f.Row)
+		if err != nil {
+			return err
+		}
+		f.take(row, asked)
+		return nil
+	}
+	changes, err := f.store.Watch(ctx, f.Table, after, watchTime)
+	if err != nil {
+		return err
+	}
+	for _, row := range changes.Rows {
+		if row.Key == f.Row {
+			f.take(row, asked)
+			return nil
+		}
+	}
+	f.confirm(max(after, changes.Version), asked)
+	return nil
+}
+
+// forget makes the next step read the row anew.
+func (f *Follower) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.log.Info().Uint64("row", f.row).Msg("history of the settings is gone, reading them anew")
+	f.row = 0
+}
+
+// take puts the document of a row in force, unless it is invalid or not newer.
+func (f *Follower) take(row platform.Row, asked clock.Time) {
+	view := f.compile(row)
+	f.mu.Lock()
+	f.valid = view != nil
+	if old := f.current.View(); view != nil && (old == nil || view.Version > old.Version) {
+		f.current.Install(view)
+		f.log.Info().Uint64("version", view.Version).Uint64("row", row.Version).
+			Int("accounts", len(view.Accounts)).Msg("settings in force")
+	}
+	f.mu.Unlock()
+	f.confirm(row.Version, asked)
+}
+
+// compile returns nil for a document that cannot be used.
+func (f *Follower) compile(row platform.Row) *settings.View {
+	d, err := f.Decode(row.Value)
+	if err == nil {
+		err = d.Validate()
+	}
+	if err != nil {
+		f.invalid.Inc()
+		f.log.Error().Err(err).Uint64("row", row.Version).Msg("settings are invalid, the version before stays in force")
+		return nil
+	}
+	return settings.CompileDocument(d, f.Domains)
+}
+
+// confirm notes that up to a version of the row nothing newer is known at asked. While
+// the newest document cannot be used, the one in force is not confirmed.
+func (f *Follower) confirm(row uint64, asked clock.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.row = row
+	if f.valid && int64(asked) > f.confirmed.Load() {
+		f.confirmed.Store(int64(asked))
+	}
+	if f.lost {
+		f.lost = false
+		f.log.Info().Str("dependency", "platform").Msg("dependency regained")
+	}
+}
+
+func (f *Follower) noteLost(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.lost {
+		f.lost = true
+		f.log.Warn().Err(err).Str("dependency", "platform").Dur("settings_age_ms", f.Age()).Msg("dependency lost")
+	}
+}
--- a/internal/system/membership/fleet_test.go
+++ b/internal/system/membership/fleet_test.go
@@ -69,8 +69,8 @@
 // noStore is a platform that is down.
 type noStore struct{ platform.Store }
 
-func (noStore) Transact(context.Context, platform.Tx) error {
-	return &platform.Error{Kind: platform.Unavailable}
+func (noStore) Transact(context.Context, platform.Tx) (uint64, error) {
+	return 0, &platform.Error{Kind: platform.Unavailable}
 }
 
 func (noStore) Scan(context.Context, string) ([]platform.Row, error) {
@@ -101,7 +101,7 @@
 	clk := clock.Boot{}
 	address := fmt.Sprintf("10.%d.%d.%d:7004", i%12, i/250, i%250)
 	endpoints := table.NewEndpoints(clk)
-	x := instance{members: table.NewMembers(clk, endpoints), locals: table.NewLocals()}
+	x := instance{members: table.NewMembers(clk, endpoints), locals: table.NewLocals(table.HeartbeatTimeout)}
 	x.locals.Announce(table.Local{
 		Service: fmt.Sprintf("service-%03d", i%40), Address: "10.0.0.1:8000", Slots: 80, Connections: 600,
 		State: table.Ready, Heard: clk.Now().Add(time.Hour),
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -135,7 +135,7 @@
 // silent, until ctx ends.
 func (m *Manager) watchLocals(ctx context.Context) {
 	system.Every(ctx, localInterval, func() {
-		m.locals.Expire(m.clock.Now().Add(-table.HeartbeatTimeout))
+		m.locals.Expire(m.clock.Now())
 		m.publish(ctx)
 	})
 }
--- a/internal/system/membership/rows.go
+++ b/internal/system/membership/rows.go
@@ -40,7 +40,7 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
-func (m *Manager) rowKey(id string) string { return "member/" + m.deployment + "/" + id }
+func (m *Manager) rowKey(id string) string { return rowPrefix(m.deployment) + id }
 
 // keepRow writes the own row, reads others' to join by, and cleans up, until ctx ends.
 func (m *Manager) keepRow(ctx context.Context) {
@@ -78,13 +78,32 @@
 	if err != nil {
 		return err
 	}
-	err = m.store.Transact(ctx, platform.Tx{Writes: []platform.Write{{Key: m.rowKey(m.self.ID), Value: value}}})
+	_, err = m.store.Transact(ctx, platform.Tx{Writes: []platform.Write{{Key: m.rowKey(m.self.ID), Value: value}}})
 	if err != nil {
 		m.log.Warn().Err(err).Msg("not registered at the platform yet")
 	}
 	return err
 }
 
+// LastIncarnation returns the incarnation of a node's last start that is in the
+// platform's table, 0 if there is none.
+func LastIncarnation(ctx context.Context, s platform.Store, deployment, id string) (uint64, error) {
+	r, err := s.Get(ctx, rowPrefix(deployment)+id)
+	if platform.IsKind(err, platform.NotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	var x row
+	if err := json.Unmarshal(r.Value, &x); err != nil {
+		return 0, err
+	}
+	return x.Incarnation, nil
+}
+
+func rowPrefix(deployment string) string { return "member/" + deployment + "/" }
+
 // readContacts takes a few members from the rows to join by.
 func (m *Manager) readContacts(ctx context.Context) error {
 	rows, err := m.store.Scan(ctx, m.rowKey(""))
@@ -125,7 +144,7 @@
 	if json.Unmarshal(r.Value, &x) == nil && x.Incarnation > incarnation {
 		return nil
 	}
-	err = m.store.Transact(ctx, platform.Tx{
+	_, err = m.store.Transact(ctx, platform.Tx{
 		Conditions: []platform.Condition{{Key: key, Version: r.Version}},
 		Writes:     []platform.Write{{Key: key, Delete: true}},
 	})
--- a/internal/system/membership/rows_test.go
+++ b/internal/system/membership/rows_test.go
@@ -39,20 +39,20 @@
 	return r, nil
 }
 
-func (s *rowStore) Transact(_ context.Context, tx platform.Tx) error {
+func (s *rowStore) Transact(_ context.Context, tx platform.Tx) (uint64, error) {
 	s.writes++
 	if s.between != nil {
 		s.between()
 	}
 	for _, c := range tx.Conditions {
 		if s.rows[c.Key].Version != c.Version {
-			return &platform.Error{Kind: platform.Conflict}
+			return 0, &platform.Error{Kind: platform.Conflict}
 		}
 	}
 	for _, w := range tx.Writes {
 		delete(s.rows, w.Key)
 	}
-	return nil
+	return 0, nil
 }
 
 // deadMember is a manager that has held one member for dead since age.
@@ -62,7 +62,7 @@
 	endpoints := table.NewEndpoints(clk)
 	members := table.NewMembers(clk, endpoints)
 	m := New(Options{Self: dispatch.Self{ID: "a", Incarnation: 1}, Address: "10.0.0.1:7004", Deployment: "d"},
-		clk, members, endpoints, table.NewLocals(), &network{}, store, metric.NewSet(), zerolog.Nop())
+		clk, members, endpoints, table.NewLocals(table.HeartbeatTimeout), &network{}, store, metric.NewSet(), zerolog.Nop())
 	m.machine.Receive(gossip.Message{Members: []table.Member{{
 		ID: "gone", Incarnation: 7, Sequence: 1, State: table.Dead, Changed: clk.Now().Add(-age),
 	}}})
--- /dev/null
+++ b/internal/system/serve/dialect.go
@@ -0,0 +1,101 @@
+package serve
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"comfreycart.dev/comfreycart/internal/call"
+	"comfreycart.dev/comfreycart/internal/table"
+)
+
+// Dialect is how calls are put to backend servers, and how their answers are read. It is
+// safe for concurrent use.
+type Dialect interface {
+	// Request returns the request for a call with the time left to it. The handle names
+	// the call on this node.
+	Request(ctx context.Context, c *call.Call, l table.Local, left time.Duration, handle string) *http.Request
+	// Foreign reports whether an answer is to another call.
+	Foreign(resp *http.Response, c *call.Call, handle string) bool
+	// NotRun reports whether an answer proves that the call did not run, and whether
+	// the reason is that the address now belongs to another instance.
+	NotRun(resp *http.Response, called bool) (notRun, moved bool)
+	// Unframed reports whether an answer without a length may end with its connection.
+	Unframed() bool
+	// Passable reports whether an answer can be given to the caller as it is.
+	Passable(resp *http.Response, c *call.Call) bool
+}
+
+// Headers between a node and its backend servers.
+const (
+	HeaderAccount = "Comfreycart-Account"
+	HeaderCall    = "Comfreycart-Call"
+	HeaderTimeout = "Request-Timeout-Ms"
+	HeaderOutcome = "Comfreycart-Outcome"
+)
+
+// Own is the product's own dialect.
+type Own struct {
+	// names is set once a backend server named a call in its answer.
+	names atomic.Bool
+}
+
+// Request implements Dialect.
+func (*Own) Request(ctx context.Context, c *call.Call, l table.Local, left time.Duration, handle string) *http.Request {
+	r := c.Request
+	req := NewRequest(ctx, c, &url.URL{Scheme: "http", Host: l.Address, Path: r.Path, RawQuery: r.RawQuery})
+	req.Host = l.Address
+	req.Header.Set(HeaderAccount, c.Account)
+	req.Header.Set(HeaderCall, handle)
+	req.Header.Set(HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
+	return req
+}
+
+// NewRequest returns a request with a call's method, header and body.
+func NewRequest(ctx context.Context, c *call.Call, to *url.URL) *http.Request {
+	r := c.Request
+	req := &http.Request{
+		Method:        r.Method,
+		URL:           to,
+		Header:        r.Header.Clone(),
+		Body:          http.NoBody,
+		ContentLength: int64(len(r.Body)),
+	}
+	if len(r.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(r.Body))
+	}
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	return req.WithContext(ctx)
+}
+
+// Foreign implements Dialect. An answer is foreign if it names another call, or names
+// none although the backend servers here do so otherwise.
+func (d *Own) Foreign(resp *http.Response, _ *call.Call, handle string) bool {
+	named := resp.Header.Get(HeaderCall)
+	if named == handle {
+		d.names.Store(true)
+		return false
+	}
+	return named != "" || d.names.Load()
+}
+
+// NotRun implements Dialect. A call that asked for a sub-call did run: its server may
+// only pass on what it was told below.
+func (*Own) NotRun(resp *http.Response, called bool) (notRun, moved bool) {
+	return resp.StatusCode == http.StatusServiceUnavailable &&
+		resp.Header.Get(HeaderOutcome) == string(call.NotRun) &&
+		!called, false
+}
+
+// Unframed implements Dialect.
+func (*Own) Unframed() bool { return false }
+
+// Passable implements Dialect.
+func (*Own) Passable(*http.Response, *call.Call) bool { return true }
--- a/internal/system/serve/exchange.go
+++ b/internal/system/serve/exchange.go
@@ -1,103 +1,160 @@
 package serve
 
 import (
-	"bytes"
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
+	"strings"
+	"sync"
+	"time"
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
-// Headers between a node and its backend servers.
 const (
-	HeaderAccount = "Comfreycart-Account"
-	HeaderCall    = "Comfreycart-Call"
-	HeaderTimeout = "Request-Timeout-Ms"
-	HeaderOutcome = "Comfreycart-Outcome"
+	// longBody is the size in bytes from which a body is sent while the answer is read,
+	// since a backend server may answer before it has read the whole body.
+	longBody = 16 << 10
+	// maxForeign bounds the answers to other calls that are skipped on one connection.
+	maxForeign = 4
 )
 
-var errTooLarge = errors.New("answer above the route's limit")
+var (
+	errTooLarge = errors.New("answer above the route's limit")
+	errForeign  = errors.New("answers to other calls")
+	errUpgrade  = errors.New("answer leaves HTTP")
+)
 
-// maxAnswerHeaderBytes bounds the header of an answer.
-const maxAnswerHeaderBytes = 256 << 10
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBuffer) }}
 
-// exchange sends one request on one connection and reads the whole answer. It
-// never sends a request twice.
-func exchange(ctx context.Context, p *pool, clk clock.Clock, c *call.Call, handle string) (*http.Response, []byte, *call.Failure) {
-	cn, err := p.get(ctx)
-	if err != nil {
-		return nil, nil, call.Refuse(call.BackendUnreachable, "no connection to the backend server of %s", c.Service)
-	}
-	before := cn.written.Load()
-	resp, err := cn.RoundTrip(backendRequest(ctx, p.address, clk, c, handle))
+// writeBuffer holds a request's head and a small body.
+const writeBuffer = 4 << 10
+
+// exchange is one call at a backend server. The standard client is not used, since it
+// sends some requests again by itself and cannot skip an answer to another call.
+type exchange struct {
+	dialect Dialect
+	pool    *pool
+	clock   clock.Clock
+	call    *call.Call
+	local   table.Local
+	handle  string
+}
+
+// run sends the request on one connection and reads the whole answer. It never sends a
+// request twice.
+func (x *exchange) run(ctx context.Context) (*http.Response, []byte, *call.Failure) {
+	cn, err := x.pool.get(ctx)
 	if err != nil {
-		_ = cn.Close()
-		if cn.written.Load() == before {
-			return nil, nil, call.Refuse(call.BackendUnreachable, "the connection to the backend server of %s was closed", c.Service)
-		}
-		return nil, nil, lost(ctx, call.BackendLost, c)
+		return nil, nil, call.Refuse(call.BackendUnreachable, "no connection to the backend server of %s", x.call.Service)
 	}
-	if p.foreign(resp, handle) {
-		_ = cn.Close()
-		return nil, nil, call.Lose(call.BackendLost, "the backend server of %s answered another call", c.Service)
+	stop := context.AfterFunc(ctx, func() { _ = cn.raw.SetDeadline(time.Unix(1, 0)) })
+	resp, body, err := x.roundTrip(ctx, cn)
+	if !stop() || err != nil || resp.Close || cn.in.Buffered() > 0 {
+		cn.close()
+	} else {
+		cn.idle = idleTime(resp.Header)
+		x.pool.put(cn)
 	}
-	body, err := readWhole(resp, c.Request.Method, c.AnswerLimit)
 	if err != nil {
-		_ = cn.Close()
-		return nil, nil, bodyFailure(ctx, err, c)
+		return nil, nil, x.failure(ctx, cn, resp, err)
 	}
-	p.put(cn)
 	return resp, body, nil
 }
 
-// foreign reports whether an answer is none to this call: it leaves HTTP, names
-// another call, or names none although the backend server does so otherwise.
-func (p *pool) foreign(resp *http.Response, handle string) bool {
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return true
+func (x *exchange) roundTrip(ctx context.Context, cn *conn) (*http.Response, []byte, error) {
+	left := x.call.Deadline.Sub(x.clock.Now())
+	req := x.dialect.Request(ctx, x.call, x.local, left, x.handle)
+	if len(x.call.Request.Body) < longBody {
+		if err := send(cn, req); err != nil {
+			return nil, nil, err
+		}
+		return x.receive(cn, req)
 	}
-	named := resp.Header.Get(HeaderCall)
-	if named == handle {
-		p.names.Store(true)
-		return false
+	sent := make(chan error, 1)
+	cn.sent = true
+	go func() { sent <- send(cn, req) }()
+	resp, body, err := x.receive(cn, req)
+	select {
+	case sendErr := <-sent:
+		if err == nil && sendErr != nil {
+			resp.Close = true
+		}
+	default:
+		cn.close()
+		<-sent
+		if err == nil {
+			resp.Close = true
+		}
 	}
-	return named != "" || p.names.Load()
+	return resp, body, err
 }
 
-func backendRequest(ctx context.Context, address string, clk clock.Clock, c *call.Call, handle string) *http.Request {
-	r := c.Request
-	req := &http.Request{
-		Method:        r.Method,
-		URL:           &url.URL{Scheme: "http", Host: address, Path: r.Path, RawQuery: r.RawQuery},
-		Host:          address,
-		Header:        r.Header.Clone(),
-		Body:          http.NoBody,
-		ContentLength: int64(len(r.Body)),
+func send(cn *conn, req *http.Request) error {
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	w.Reset(cn)
+	if err := req.Write(w); err != nil {
+		return err
 	}
-	if len(r.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(r.Body))
+	return w.Flush()
+}
+
+// receive reads answers until one is to this call, and that one whole.
+func (x *exchange) receive(cn *conn, req *http.Request) (*http.Response, []byte, error) {
+	for skipped := 0; skipped < maxForeign; {
+		resp, err := http.ReadResponse(cn.in, req)
+		if err != nil {
+			return nil, nil, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, nil, errUpgrade
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		body, err := readWhole(resp, x.call.Request.Method, x.call.AnswerLimit, x.dialect.Unframed())
+		if err != nil {
+			return resp, nil, err
+		}
+		if !x.dialect.Foreign(resp, x.call, x.handle) {
+			return resp, body, nil
+		}
+		if resp.Close {
+			break
+		}
+		skipped++
 	}
-	if req.Header == nil {
-		req.Header = http.Header{}
+	return nil, nil, errForeign
+}
+
+// idleTime is how long a connection may be kept unused after an answer.
+func idleTime(h http.Header) time.Duration {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
+			return time.Duration(idlePart * float64(time.Duration(seconds)*time.Second))
+		}
 	}
-	req.Header.Set(HeaderAccount, c.Account)
-	req.Header.Set(HeaderCall, handle)
-	req.Header.Set(HeaderTimeout, strconv.FormatInt(c.Deadline.Sub(clk.Now()).Milliseconds(), 10))
-	return req.WithContext(ctx)
+	return idleTimeout
 }
 
-// readWhole reads an answer whose end is marked; any other is cut.
-func readWhole(resp *http.Response, method string, limit int64) ([]byte, error) {
+// readWhole reads an answer whose end is marked, or, where unframed is allowed, one that
+// ends with its connection. A reset connection ends no answer.
+func readWhole(resp *http.Response, method string, limit int64, unframed bool) ([]byte, error) {
 	defer resp.Body.Close()
 	chunked := len(resp.TransferEncoding) > 0
 	if resp.ContentLength < 0 && !chunked && method != http.MethodHead {
-		return nil, io.ErrUnexpectedEOF
+		if !unframed {
+			return nil, io.ErrUnexpectedEOF
+		}
+		resp.Close = true
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
@@ -109,11 +166,19 @@
 	return body, nil
 }
 
-func bodyFailure(ctx context.Context, err error, c *call.Call) *call.Failure {
-	if errors.Is(err, errTooLarge) {
-		return call.Lose(call.AnswerTooLarge, "the answer of %s exceeds %d bytes", c.Service, c.AnswerLimit)
+// failure says what became of a call whose exchange failed.
+func (x *exchange) failure(ctx context.Context, cn *conn, resp *http.Response, err error) *call.Failure {
+	switch {
+	case !cn.sent:
+		return call.Refuse(call.BackendUnreachable, "the connection to the backend server of %s was closed", x.call.Service)
+	case errors.Is(err, errTooLarge):
+		return call.Lose(call.AnswerTooLarge, "the answer of %s exceeds %d bytes", x.call.Service, x.call.AnswerLimit)
+	case errors.Is(err, errForeign):
+		return call.Lose(call.BackendLost, "the backend server of %s answered another call", x.call.Service)
+	case resp != nil:
+		return lost(ctx, call.AnswerTruncated, x.call)
 	}
-	return lost(ctx, call.AnswerTruncated, c)
+	return lost(ctx, call.BackendLost, x.call)
 }
 
 // lost classes the loss of a request that may have run.
@@ -126,12 +191,3 @@
 	}
 	return call.Lose(reason, "the backend server of %s gave no whole answer", c.Service)
 }
-
-// promisedNotRun recognizes an answer by which a backend server promises that it
-// did not run the call. A call that asked for a sub-call did run: its server may
-// only pass on what it was told below.
-func promisedNotRun(resp *http.Response, below table.Below) bool {
-	return resp.StatusCode == http.StatusServiceUnavailable &&
-		resp.Header.Get(HeaderOutcome) == string(call.NotRun) &&
-		!below.Called
-}
--- a/internal/system/serve/pool.go
+++ b/internal/system/serve/pool.go
@@ -1,65 +1,87 @@
 package serve
 
 import (
+	"bufio"
 	"context"
 	"net"
-	"net/http"
+	"net/netip"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
+
+	"comfreycart.dev/comfreycart/internal/tcp"
 )
 
-// idleTimeout closes a connection that has served no call for so long.
-const idleTimeout = 30 * time.Second
+const (
+	// idleTimeout closes a connection that has served no call for so long, where its
+	// backend server names no time of its own.
+	idleTimeout = 8 * time.Second
+	// idlePart is the part of the idle time named by a backend server for which a
+	// connection is used, so that a request does not cross its end.
+	idlePart = 0.7
+	// dialTimeout bounds a connection within the VM.
+	dialTimeout = time.Second
+)
 
 // conn is one HTTP/1.1 connection to a backend server.
 type conn struct {
-	*http.ClientConn
-	// written counts the bytes handed to the network.
-	written *atomic.Int64
-	used    time.Time
+	raw net.Conn
+	in  *bufio.Reader
+	// sent is set once a byte may have been sent for the call under way.
+	sent bool
+	// idle is how long the connection may be unused, and used since when it is.
+	idle time.Duration
+	used time.Time
 }
 
-// countingConn counts bytes before they are written, so that an unchanged count
-// proves that nothing was sent.
-type countingConn struct {
-	net.Conn
-	written *atomic.Int64
+// Write implements io.Writer; it notes whether a byte may have been sent.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.raw.Write(b)
+	c.sent = c.sent || n > 0
+	return n, err
 }
 
-func (c countingConn) Write(b []byte) (int, error) {
-	c.written.Add(int64(len(b)))
-	return c.Conn.Write(b)
-}
+func (c *conn) close() { _ = c.raw.Close() }
 
-type counterKey struct{}
+// quiet reports whether the backend server has neither closed the connection nor sent
+// bytes that belong to no call.
+func (c *conn) quiet() bool {
+	if c.in.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
 
-// pool keeps idle connections to one backend server. The standard client is not
-// used, since it resends some requests by itself. It is safe for concurrent use.
+// pool keeps idle connections to one backend server, the last used first. It is safe
+// for concurrent use.
 type pool struct {
-	address   string
-	transport *http.Transport
-	// names is set once the backend server named a call in its answer.
-	names atomic.Bool
+	address string
+	dialer  *net.Dialer
 
-	mu   sync.Mutex
-	idle []*conn
+	mu     sync.Mutex
+	idle   []*conn
+	closed bool
 }
 
 func newPool(address string) *pool {
-	dialer := &net.Dialer{}
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return countingConn{c, ctx.Value(counterKey{}).(*atomic.Int64)}, nil
-	}
-	return &pool{address: address, transport: &http.Transport{
-		DialContext:            dial,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
-	}}
+	return &pool{address: address, dialer: tcp.Dialer(netip.Addr{}, dialTimeout)}
 }
 
 // get returns an idle connection or dials one.
@@ -67,13 +89,11 @@
 	if c := p.pop(); c != nil {
 		return c, nil
 	}
-	written := &atomic.Int64{}
-	ctx = context.WithValue(ctx, counterKey{}, written)
-	cc, err := p.transport.NewClientConn(ctx, "http", p.address)
+	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{ClientConn: cc, written: written}, nil
+	return &conn{raw: raw, in: bufio.NewReader(raw), idle: idleTimeout}, nil
 }
 
 func (p *pool) pop() *conn {
@@ -82,31 +102,41 @@
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
-		if c.Err() == nil && time.Since(c.used) < idleTimeout {
+		if time.Since(c.used) < c.idle && c.quiet() {
 			return c
 		}
-		_ = c.Close()
+		c.close()
 	}
 	return nil
 }
 
 // put takes back a connection whose answer was read whole.
 func (p *pool) put(c *conn) {
-	if c.Err() != nil {
-		_ = c.Close()
-		return
-	}
-	c.used = time.Now()
+	c.used, c.sent = time.Now(), false
+	_ = c.raw.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		c.close()
+		return
+	}
 	p.idle = append(p.idle, c)
+	p.closeOldest()
+}
+
+// closeOldest closes the connection that is unused for longest once its time is over.
+func (p *pool) closeOldest() {
+	for len(p.idle) > 1 && time.Since(p.idle[0].used) >= p.idle[0].idle {
+		p.idle[0].close()
+		p.idle = p.idle[1:]
+	}
 }
 
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle {
-		_ = c.Close()
+		c.close()
 	}
-	p.idle = nil
+	p.idle, p.closed = nil, true
 }
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -27,6 +27,7 @@
 	locals *table.Locals
 	fences *fence.Table
 	metric *metric.Set
+	dialect Dialect
 
 	mu       sync.Mutex
 	stations map[string]*station
@@ -44,9 +45,9 @@
 }
 
 // New returns a server of the backend servers in locals.
-func New(c clock.Clock, calls *table.Calls, locals *table.Locals, fences *fence.Table, m *metric.Set) *Server {
+func New(c clock.Clock, calls *table.Calls, locals *table.Locals, fences *fence.Table, d Dialect, m *metric.Set) *Server {
 	return &Server{
-		clock: c, calls: calls, locals: locals, fences: fences, metric: m,
+		clock: c, calls: calls, locals: locals, fences: fences, dialect: d, metric: m,
 		stations: map[string]*station{},
 	}
 }
@@ -155,7 +156,7 @@
 	if !ok || local.State == table.Draining {
 		return true
 	}
-	return s.clock.Now().Sub(local.Heard) > table.HeartbeatTimeout
+	return s.locals.Silent(local, s.clock.Now())
 }
 
 // run sends a started call to its backend server.
@@ -164,22 +165,39 @@
 	defer s.calls.Close(handle)
 	begin := s.clock.Now()
 	running.Begun = begin
-	resp, body, f := exchange(ctx, st.pool, s.clock, c, handle)
+	x := &exchange{dialect: s.dialect, pool: st.pool, clock: s.clock, call: c, local: local, handle: handle}
+	resp, body, f := x.run(ctx)
 	metric.Observe(s.metric.Histogram("comfreycart_backend_seconds", "service", local.Service), s.clock.Now().Sub(begin))
 	left, below := running.End()
 	r := call.Result{Failure: f, Unused: left, Overloaded: below.Overloaded, FailedBelow: below.Failed}
+	if f == nil {
+		s.judge(&r, c, st, below.Called, resp, body)
+	}
+	r.Feedback = running.Tightest(st.gate.Feedback())
+	return r
+}
+
+// judge decides what a whole answer means. A call that the backend server shed although
+// nothing waits for it may find room elsewhere.
+func (s *Server) judge(r *call.Result, c *call.Call, st *station, called bool, resp *http.Response, body []byte) {
+	notRun, moved := s.dialect.NotRun(resp, called)
 	switch {
-	case f != nil:
-	case promisedNotRun(resp, below):
-		r.Failure = call.Refuse(call.ShedByBackend, "the backend server of %s shed the call", c.Service)
-		r.Overloaded = true
+	case moved:
+		r.Failure = call.Refuse(call.NoEndpoint, "another instance has the address of %s", c.Service)
+	case notRun:
+		r.Failure = call.Refuse(call.ShedByBackend, "the backend server of %s shed the call", c.Service).After(shedRetryAfter)
+		r.Overloaded = st.gate.Feedback().Queued > 0
+	case !s.dialect.Passable(resp, c):
+		r.Failure = call.Lose(call.BackendLost, "the backend server of %s answered %d, which would promise that the call did not run", c.Service, resp.StatusCode)
 	default:
 		r.Answer = answerOf(resp, c.Request.Method, body)
 	}
-	r.Feedback = running.Tightest(st.gate.Feedback())
-	return r
 }
 
+// shedRetryAfter is what a caller is asked to wait after its call was shed everywhere;
+// an endpoint's limit follows its sheds within a few tenths of a second.
+const shedRetryAfter = 500 * time.Millisecond
+
 // answerOf returns the answer as it is passed on; one to HEAD keeps its length.
 func answerOf(resp *http.Response, method string, body []byte) *call.Answer {
 	header := api.AnswerHeader(resp.Header)
--- a/internal/system/settingsync/fleet_test.go
+++ b/internal/system/settingsync/fleet_test.go
@@ -18,6 +18,7 @@
 	"comfreycart.dev/comfreycart/internal/platform"
 	"comfreycart.dev/comfreycart/internal/settings"
 	"comfreycart.dev/comfreycart/internal/table"
+	adapter "comfreycart.dev/comfreycart/platform"
 	standin "comfreycart.dev/comfreycart/test/standin/platform"
 )
 
@@ -35,7 +36,7 @@
 	server := httptest.NewServer(standin.New().Handler())
 	t.Cleanup(server.Close)
 	f := &testFleet{
-		store:     platform.NewClient(server.URL, time.Second),
+		store:     adapter.NewStore(server.URL, time.Second),
 		members:   table.NewMembers(clock.Boot{}, table.NewEndpoints(clock.Boot{})),
 		byAddress: map[string]*Follower{},
 	}
@@ -145,11 +146,12 @@
 	f := newTestFleet(t, 1)
 	f.run(t)
 	m := &move{acceptor: f.acceptor(0), change: Change{ID: "old"}}
-	require.NoError(t, f.store.Transact(t.Context(), platform.Tx{Writes: []platform.Write{
+	_, err := f.store.Transact(t.Context(), platform.Tx{Writes: []platform.Write{
 		{Key: m.changeKey("old"), Value: encode(accepted{1})},
 		{Key: m.ringKey(1 + changeRing), Value: encode(ringEntry{"old"})},
-	}}))
-	_, err := f.acceptor(0).Accept(t.Context(), rename("new"))
+	}})
+	require.NoError(t, err)
+	_, err = f.acceptor(0).Accept(t.Context(), rename("new"))
 	require.NoError(t, err)
 	_, err = f.store.Get(t.Context(), m.changeKey("old"))
 	require.True(t, platform.IsKind(err, platform.NotFound))
@@ -174,7 +176,7 @@
 		return nil
 	}})
 	require.NoError(t, err)
-	late.store = platform.NewClient("http://127.0.0.1:1", time.Second)
+	late.store = adapter.NewStore("http://127.0.0.1:1", time.Second)
 	require.NoError(t, late.pull(t.Context(), "node0"))
 	require.Len(t, late.current.View().Accounts, 1000)
 	require.Nil(t, late.Fresh())
--- a/internal/system/settingsync/follower.go
+++ b/internal/system/settingsync/follower.go
@@ -38,6 +38,10 @@
 // View returns the settings in force, nil before the first version.
 func (c *Current) View() *settings.View { return c.view.Load() }
 
+// Install puts a version in force. Its caller makes sure that none is older than the
+// one before.
+func (c *Current) Install(v *settings.View) { c.view.Store(v) }
+
 // Peers reaches other nodes by their address.
 type Peers interface {
 	To(ctx context.Context, address string) peerpb.DRPCPeerClient
--- a/internal/system/settingsync/move.go
+++ b/internal/system/settingsync/move.go
@@ -56,7 +56,7 @@
 	}
 	asked := m.acceptor.clock.Now()
 	m.sent = true
-	if err := m.acceptor.store.Transact(ctx, m.tx(next, base.row, oldest)); err != nil {
+	if _, err := m.acceptor.store.Transact(ctx, m.tx(next, base.row, oldest)); err != nil {
 		return 0, err
 	}
 	m.acceptor.fleet.Hold(next, base.tree, objects, asked)
--- a/internal/system/shares/draw.go
+++ b/internal/system/shares/draw.go
@@ -27,7 +27,7 @@
 		return l.domains
 	}
 	l := &domainList{view: v, domains: []string{m.self.Domain}}
-	all := homes.ShareDomains(v.Tree.Homes)
+	all := shareDomains(v)
 	start := homes.Slot(m.self.ID)
 	for i := range all {
 		if d := all[(start+i)%len(all)]; d != m.self.Domain {
--- a/internal/system/shares/limits.go
+++ b/internal/system/shares/limits.go
@@ -16,6 +16,14 @@
 	return escrow.Limits{Cap: a.Burst / n, Rate: a.Rate / n}
 }
 
+// shareDomains returns the failure domains that share the accounts' tokens.
+func shareDomains(v *settings.View) []string {
+	if v.Domains != nil {
+		return v.Domains
+	}
+	return homes.ShareDomains(v.Tree.Homes)
+}
+
 // divisor is the number of parts that an account is split into. More parts count at
 // once. Fewer count once nobody acts on the older number and its grants have ended.
 // It is safe for concurrent use.
@@ -56,7 +64,7 @@
 		return
 	}
 	d.view = v
-	n := max(1, len(homes.ShareDomains(v.Tree.Homes)))
+	n := max(1, len(shareDomains(v)))
 	if n != d.seen {
 		d.seen, d.changed, d.fenced = n, v.Version, 0
 	}
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -1,5 +1,5 @@
 // Package platform is a stand-in for the platform's table service and object
-// store, with faults that tests switch on by POST /control.
+// store, as far as a node asks it, with faults that tests switch on by POST /control.
 package platform
 
 import (
@@ -7,11 +7,9 @@
 	"io"
 	"net/http"
 	"sort"
-	"strings"
+	"strconv"
 	"sync"
 	"time"
-
-	api "comfreycart.dev/comfreycart/internal/platform"
 )
 
 // Faults are the failures in force, as posted to /control.
@@ -26,21 +24,47 @@
 	LoseWriteAnswers bool `json:"loseWriteAnswers"`
 }
 
+const (
+	// maxRows is the most rows in one answer, maxWaitMs the longest wait of a feed.
+	maxRows   = 500
+	maxWaitMs = 30_000
+	// feedPoll is how often a waiting feed looks for changes.
+	feedPoll = 5 * time.Millisecond
+)
+
+// Name names a row.
+type Name struct {
+	Table string `json:"table"`
+	Part  string `json:"part"`
+	Key   string `json:"key"`
+}
+
+// Row is one row; Removed is set where it was deleted.
+type Row struct {
+	Name
+	Value   []byte `json:"value,omitempty"`
+	Ver     uint64 `json:"ver"`
+	Removed bool   `json:"removed,omitempty"`
+}
+
 // Server is the stand-in. It is safe for concurrent use.
 type Server struct {
 	mu      sync.Mutex
-	rows    map[string]api.Row
+	began   time.Time
+	rows    map[Name]Row
 	objects map[string][]byte
 	faults  Faults
 	version uint64
-	calls   int
-	reads   int
-	writes  int
+	// forgotten is the newest version whose history is no longer kept.
+	forgotten uint64
+	calls     int
+	reads     int
+	writes    int
 }
 
 // New returns an empty platform.
 func New() *Server {
-	return &Server{rows: map[string]api.Row{}, objects: map[string][]byte{}}
+	return &Server{began: time.Now(), rows: map[Name]Row{}, objects: map[string][]byte{}}
 }
 
 // Handler serves the table service, the object store and /control.
@@ -48,11 +72,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /control", s.control)
 	mux.HandleFunc("GET /counts", s.counts)
-	mux.HandleFunc("GET /table/rows/{key}", s.faulty(s.get))
-	mux.HandleFunc("GET /table/scan", s.faulty(s.scan))
-	mux.HandleFunc("POST /table/transact", s.faulty(s.transact))
-	mux.HandleFunc("PUT /objects/{name}", s.faulty(s.putObject))
-	mux.HandleFunc("GET /objects/{name}", s.faulty(s.getObject))
+	mux.HandleFunc("GET /comfreycart/rows-get", s.faulty(s.get))
+	mux.HandleFunc("GET /comfreycart/rows-feed", s.feed)
+	mux.HandleFunc("POST /comfreycart/rows-tx", s.faulty(s.transact))
+	mux.HandleFunc("PUT /comfreycart/blob-put/{name}", s.faulty(s.putObject))
+	mux.HandleFunc("GET /comfreycart/blob-get/{name}", s.faulty(s.getObject))
 	return mux
 }
 
@@ -62,9 +86,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.mu.Lock()
-	s.faults = f
-	s.mu.Unlock()
+	s.SetFaults(f)
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -125,47 +147,142 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// rows is an answer with rows.
+type rows struct {
+	Rows    []Row  `json:"rows"`
+	HasMore bool   `json:"hasMore"`
+	Ver     uint64 `json:"ver"`
+	NowMs   int64  `json:"nowMs"`
+}
+
+func (s *Server) answerRows(list []Row) rows {
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return rows{Rows: list, Ver: s.version, NowMs: time.Since(s.began).Milliseconds()}
+}
+
 func (s *Server) get(r *http.Request, _ []byte) (int, any) {
 	s.reads++
-	row, ok := s.rows[r.PathValue("key")]
-	if !ok {
-		return http.StatusNotFound, nil
+	q := r.URL.Query()
+	from, to := q.Get("from"), q.Get("to")
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit < 1 {
+		limit = maxRows
 	}
-	return http.StatusOK, row
+	list := []Row{}
+	for name, row := range s.rows {
+		if name.Table != q.Get("table") || name.Part != q.Get("part") || row.Removed {
+			continue
+		}
+		if name.Key >= from && (to == "" || name.Key < to) {
+			list = append(list, row)
+		}
+	}
+	out := s.answerRows(list)
+	if len(out.Rows) > limit {
+		out.Rows, out.HasMore = out.Rows[:limit], true
+	}
+	return http.StatusOK, out
 }
 
-func (s *Server) scan(r *http.Request, _ []byte) (int, any) {
-	s.reads++
-	rows := []api.Row{}
-	for k, row := range s.rows {
-		if strings.HasPrefix(k, r.URL.Query().Get("prefix")) {
-			rows = append(rows, row)
+// feed answers once a row of the table has changed, or after the asked time.
+func (s *Server) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	waitMs, err2 := strconv.Atoi(q.Get("waitMs"))
+	if err != nil || err2 != nil || waitMs > maxWaitMs {
+		http.Error(w, "bad question", http.StatusBadRequest)
+		return
+	}
+	end := time.Now().Add(time.Duration(waitMs) * time.Millisecond)
+	for {
+		faults, refused := s.begin()
+		time.Sleep(time.Duration(faults.DelayMs) * time.Millisecond)
+		if refused {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		s.mu.Lock()
+		out, gone := s.changed(q.Get("table"), after), after < s.forgotten
+		s.mu.Unlock()
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(out.Rows) > 0 || !time.Now().Before(end) {
+			writeJSON(w, out)
+			return
+		}
+		time.Sleep(feedPoll)
+	}
+}
+
+func (s *Server) changed(table string, after uint64) rows {
+	list := []Row{}
+	for name, row := range s.rows {
+		if name.Table == table && row.Ver > after {
+			list = append(list, row)
 		}
 	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	return http.StatusOK, rows
+	return s.answerRows(list)
+}
+
+// tx is a transaction; all its entries are in one part.
+type tx struct {
+	Expect []Row  `json:"expect"`
+	Writes []Row  `json:"writes"`
+	Remove []Name `json:"remove"`
 }
 
 func (s *Server) transact(_ *http.Request, body []byte) (int, any) {
 	s.writes++
-	var tx api.Tx
-	if json.Unmarshal(body, &tx) != nil {
+	var t tx
+	if json.Unmarshal(body, &t) != nil {
 		return http.StatusBadRequest, nil
 	}
-	for _, c := range tx.Conditions {
-		if s.rows[c.Key].Version != c.Version {
-			return http.StatusConflict, nil
+	for _, e := range t.Expect {
+		if s.standing(e.Name).Ver != e.Ver {
+			return http.StatusPreconditionFailed, nil
 		}
 	}
-	for _, w := range tx.Writes {
-		if w.Delete {
-			delete(s.rows, w.Key)
-			continue
-		}
-		s.version++
-		s.rows[w.Key] = api.Row{Key: w.Key, Value: w.Value, Version: s.version}
+	s.version++
+	for _, x := range t.Writes {
+		s.rows[x.Name] = Row{Name: x.Name, Value: x.Value, Ver: s.version}
 	}
-	return http.StatusNoContent, nil
+	for _, name := range t.Remove {
+		s.rows[name] = Row{Name: name, Ver: s.version, Removed: true}
+	}
+	return http.StatusOK, map[string]uint64{"ver": s.version}
+}
+
+// standing returns the row of a name; one that does not exist has version 0.
+func (s *Server) standing(n Name) Row {
+	row := s.rows[n]
+	if row.Removed {
+		return Row{}
+	}
+	return row
+}
+
+// Put writes a row as the operator does, without a condition.
+func (s *Server) Put(n Name, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows[n] = Row{Name: n, Value: value, Ver: s.version}
+}
+
+// Forget drops the history of all changes so far.
+func (s *Server) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.version
+}
+
+// SetFaults puts faults in force.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
 }
 
 func (s *Server) putObject(r *http.Request, body []byte) (int, any) {
