Backend dialects say what to expect of extra answers and sheds

Cause: two scenarios of the product's own interface went red with the shared exchange: whole (an answer to another call was skipped and the right one awaited until the deadline; named calls were noted for the node, not for the service) and retries (a shed was sent elsewhere although the chain is full). Ruled out: the new connection pool. Change: traits of a dialect; the own one keeps its rules. Before: both red; after: both pass.

--- a/internal/system/serve/dialect.go
+++ b/internal/system/serve/dialect.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/call"
@@ -25,12 +25,22 @@
 	// NotRun reports whether an answer proves that the call did not run, and whether
 	// the reason is that the address now belongs to another instance.
 	NotRun(resp *http.Response, called bool) (notRun, moved bool)
-	// Unframed reports whether an answer without a length may end with its connection.
-	Unframed() bool
+	// Traits tells what else to expect of backend servers.
+	Traits() Traits
 	// Passable reports whether an answer can be given to the caller as it is.
 	Passable(resp *http.Response, c *call.Call) bool
 }
 
+// Traits is what to expect of backend servers beside the form of their answers.
+type Traits struct {
+	// Unframed answers, without a length, may end with their connection.
+	Unframed bool
+	// Extra answers to earlier calls may come before the one to a call.
+	Extra bool
+	// ShedsAlone is set where an endpoint's shed says nothing of the service's others.
+	ShedsAlone bool
+}
+
 // Headers between a node and its backend servers.
 const (
 	HeaderAccount = "Comfreycart-Account"
@@ -41,8 +51,8 @@
 
 // Own is the product's own dialect.
 type Own struct {
-	// names is set once a backend server named a call in its answer.
-	names atomic.Bool
+	// names has the services whose backend server named a call in its answer.
+	names sync.Map
 }
 
 // Request implements Dialect.
@@ -76,14 +86,15 @@
 }
 
 // Foreign implements Dialect. An answer is foreign if it names another call, or names
-// none although the backend servers here do so otherwise.
-func (d *Own) Foreign(resp *http.Response, _ *call.Call, handle string) bool {
+// none although its backend server does so otherwise.
+func (d *Own) Foreign(resp *http.Response, c *call.Call, handle string) bool {
 	named := resp.Header.Get(HeaderCall)
 	if named == handle {
-		d.names.Store(true)
+		d.names.Store(c.Service, true)
 		return false
 	}
-	return named != "" || d.names.Load()
+	_, names := d.names.Load(c.Service)
+	return named != "" || names
 }
 
 // NotRun implements Dialect. A call that asked for a sub-call did run: its server may
@@ -94,8 +105,8 @@
 		!called, false
 }
 
-// Unframed implements Dialect.
-func (*Own) Unframed() bool { return false }
+// Traits implements Dialect.
+func (*Own) Traits() Traits { return Traits{} }
 
 // Passable implements Dialect.
 func (*Own) Passable(*http.Response, *call.Call) bool { return true }
--- a/internal/system/serve/exchange.go
+++ b/internal/system/serve/exchange.go
@@ -107,6 +107,7 @@
 
 // receive reads answers until one is to this call, and that one whole.
 func (x *exchange) receive(cn *conn, req *http.Request) (*http.Response, []byte, error) {
+	traits := x.dialect.Traits()
 	for skipped := 0; skipped < maxForeign; {
 		resp, err := http.ReadResponse(cn.in, req)
 		if err != nil {
@@ -118,14 +119,14 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readWhole(resp, x.call.Request.Method, x.call.AnswerLimit, x.dialect.Unframed())
+		body, err := readWhole(resp, x.call.Request.Method, x.call.AnswerLimit, traits.Unframed)
 		if err != nil {
 			return resp, nil, err
 		}
 		if !x.dialect.Foreign(resp, x.call, x.handle) {
 			return resp, body, nil
 		}
-		if resp.Close {
+		if resp.Close || !traits.Extra {
 			break
 		}
 		skipped++
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -177,8 +177,8 @@
 	return r
 }
 
-// judge decides what a whole answer means. A call that the backend server shed although
-// nothing waits for it may find room elsewhere.
+// judge decides what a whole answer means. Where sheds tell of one endpoint alone, a call
+// that was shed although nothing waits here may find room elsewhere.
 func (s *Server) judge(r *call.Result, c *call.Call, st *station, called bool, resp *http.Response, body []byte) {
 	notRun, moved := s.dialect.NotRun(resp, called)
 	switch {
@@ -186,7 +186,7 @@
 		r.Failure = call.Refuse(call.NoEndpoint, "another instance has the address of %s", c.Service)
 	case notRun:
 		r.Failure = call.Refuse(call.ShedByBackend, "the backend server of %s shed the call", c.Service).After(shedRetryAfter)
-		r.Overloaded = st.gate.Feedback().Queued > 0
+		r.Overloaded = !s.dialect.Traits().ShedsAlone || st.gate.Feedback().Queued > 0
 	case !s.dialect.Passable(resp, c):
 		r.Failure = call.Lose(call.BackendLost, "the backend server of %s answered %d, which would promise that the call did not run", c.Service, resp.StatusCode)
 	default:
