--- a/test/standin/instance/instance.go
+++ b/test/standin/instance/instance.go
@@ -215,9 +215,9 @@
 	}
 	body := "answer to " + attempt + " of " + i.ID
 	if f.Extra {
-		_, _ = buf.WriteString(head(http.StatusOK, "someone-else", len("foreign")) + "foreign")
+		_, _ = buf.WriteString(head(http.StatusOK, "someone-else", len("foreign"), "keep-alive") + "foreign")
 	}
-	text := head(status, attempt, len(body)) + body
+	text := head(status, attempt, len(body), "close") + body
 	if f.Cut {
 		text = text[:len(text)-3]
 	}
@@ -225,7 +225,7 @@
 	_ = buf.Flush()
 }
 
-func head(status int, attempt string, length int) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nResponse-Seal: seal\r\nConnection: close\r\nContent-Length: %s\r\n\r\n",
-		status, http.StatusText(status), attempt, strconv.Itoa(length))
+func head(status int, attempt string, length int, connection string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nResponse-Seal: seal\r\nConnection: %s\r\nContent-Length: %s\r\n\r\n",
+		status, http.StatusText(status), attempt, connection, strconv.Itoa(length))
 }
