A restarted fleet knows itself and its backend servers at once

Ruled out: the settings, in force within 0.1 s of the start. Change: a starting node tells its contacts at once, pushes may burst, it asks its backend server's health for the instance, and buckets accrue from the proven end of the predecessor (this node's own start where it was the holder).

--- a/internal/decide/gossip/config.go
+++ b/internal/decide/gossip/config.go
@@ -28,8 +28,11 @@
 	reviveInterval = 2 * time.Second
 	// pushInterval is the least time between two pushes of fresh changes.
 	pushInterval = 200 * time.Millisecond
-	// pushBytesPerSecond bounds pushes while many members change at once.
+	// pushBytesPerSecond bounds pushes while many members change for long, and pushBurst
+	// what may be pushed at once before: a small fleet then learns of a restart of all
+	// within a few intervals.
 	pushBytesPerSecond = 3 << 10
+	pushBurst          = 32 << 10
 	// compareInterval is the least time between two comparisons of tables.
 	compareInterval = 10 * time.Second
 	// joinInterval replaces compareInterval until the first equal comparison.
--- a/internal/decide/gossip/machine.go
+++ b/internal/decide/gossip/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/clock"
@@ -35,13 +36,16 @@
 	// gone holds when dead and left members' records came to be; Left ones never return.
 	gone map[string]clock.Time
 
-	health     int
-	joined     bool
-	differs    bool
-	fresh      bool
-	ticked     clock.Time
-	revived    clock.Time
-	pushAfter  clock.Time
+	health    int
+	joined    bool
+	differs   bool
+	fresh     bool
+	ticked    clock.Time
+	revived   clock.Time
+	pushAfter clock.Time
+	// pushed is the bytes pushed lately, as of pushedAt.
+	pushed     float64
+	pushedAt   clock.Time
 	compared   clock.Time
 	swept      clock.Time
 	contactOdd bool
@@ -85,6 +89,9 @@
 	}
 }
 
+// Contacts returns the addresses to join by.
+func (m *Machine) Contacts() []string { return slices.Clone(m.contacts) }
+
 // Alone reports whether no other member is known to be usable.
 func (m *Machine) Alone() bool { return m.live.len() == 0 }
 
--- a/internal/decide/gossip/round.go
+++ b/internal/decide/gossip/round.go
@@ -136,11 +136,18 @@
 	}
 	m.fresh = false
 	parcels, size := m.parcels(m.live.sample(fanout, ""))
-	wait := time.Duration(size) * time.Second / pushBytesPerSecond
-	m.pushAfter = now.Add(max(wait, pushInterval))
+	m.pushAfter = now.Add(max(m.charge(now, size), pushInterval))
 	return parcels
 }
 
+// charge counts pushed bytes and returns how long to wait until the next push.
+func (m *Machine) charge(now clock.Time, size int) time.Duration {
+	m.pushed = max(0, m.pushed-pushBytesPerSecond*now.Sub(m.pushedAt).Seconds()) + float64(size)
+	m.pushedAt = now
+	over := m.pushed - pushBurst
+	return time.Duration(max(0, over) / pushBytesPerSecond * float64(time.Second))
+}
+
 // PushLeave returns what a leaving node sends at once.
 func (m *Machine) PushLeave() []Parcel {
 	parcels, _ := m.parcels(m.live.sample(leaveFanout, ""))
--- a/internal/node/mesh.go
+++ b/internal/node/mesh.go
@@ -19,6 +19,7 @@
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
 	"comfreycart.dev/comfreycart/internal/system"
+	"comfreycart.dev/comfreycart/internal/system/discover"
 	"comfreycart.dev/comfreycart/internal/system/document"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/system/lease"
@@ -45,6 +46,7 @@
 	Shares     *shares.Manager
 	Fences     *fence.Table
 	Server     *serve.Server
+	Finder     *discover.Finder
 
 	callers net.Listener
 	servers []*http.Server
@@ -79,6 +81,7 @@
 		return err
 	}
 	n.spawn(func() { n.Follower.Run(ctx) })
+	n.spawn(func() { n.Finder.Run(ctx) })
 	n.spawn(func() { n.Membership.Run(ctx) })
 	n.Leases.Bequeath(n.Shares.Estates)
 	n.spawn(func() { n.Leases.Run(ctx) })
--- a/internal/node/provide_mesh.go
+++ b/internal/node/provide_mesh.go
@@ -16,6 +16,7 @@
 	"comfreycart.dev/comfreycart/internal/metric"
 	store "comfreycart.dev/comfreycart/internal/platform"
 	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/system/discover"
 	"comfreycart.dev/comfreycart/internal/system/dispatch"
 	"comfreycart.dev/comfreycart/internal/system/document"
 	"comfreycart.dev/comfreycart/internal/system/lease"
@@ -97,6 +98,13 @@
 	return front.New(o, h, m, log)
 }
 
+func provideFinder(c *config.Node, clk clock.Clock, cur *settingsync.Current, l *table.Locals, log zerolog.Logger) *discover.Finder {
+	return &discover.Finder{
+		Service: c.Mesh.Service, Address: c.Mesh.Backend, Asker: platform.Health{},
+		Clock: clk, Views: cur, Locals: l, Log: log,
+	}
+}
+
 func provideLeases(self dispatch.Self, c *config.Node, clk clock.Clock, s store.Store, m *table.Members, log zerolog.Logger) *lease.Manager {
 	return lease.New(self, c.Deployment, clk, s, m, log)
 }
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -70,9 +70,9 @@
 func NewMesh(c *config.Node, log BaseLog) (*Mesh, error) {
 	wire.Build(
 		wire.Struct(new(Mesh), "Config", "Log", "Metric", "Front", "Announce", "Ready",
-			"PeerServer", "PeerClient", "Follower", "Membership", "Leases", "Shares", "Fences", "Server"),
+			"PeerServer", "PeerClient", "Follower", "Membership", "Leases", "Shares", "Fences", "Server", "Finder"),
 		provideLog, provideMeshSelf, provideSource, providePeerTLS, provideStore, provideDocumentOptions, document.New, provideMembershipOptions,
-		provideMeshDialect, provideCallerDialect, provideRetries, provideAnnounce, provideReady, provideFront, provideLeases,
+		provideMeshDialect, provideCallerDialect, provideRetries, provideAnnounce, provideReady, provideFront, provideLeases, provideFinder,
 		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
 		wire.Struct(new(settingsync.Current)),
 		metric.NewSet,
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -128,6 +128,7 @@
 	membershipManager := membership.New(membershipOptions, boot, members, endpoints, locals, transport, store, set, logger)
 	unserved := _wireUnservedValue
 	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, unserved, sharesManager, unserved)
+	finder := provideFinder(c, boot, current, locals, logger)
 	mesh := &Mesh{
 		Config:     c,
 		Log:        logger,
@@ -143,6 +144,7 @@
 		Shares:     sharesManager,
 		Fences:     fenceTable,
 		Server:     server,
+		Finder:     finder,
 	}
 	return mesh, nil
 }
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -50,6 +50,8 @@
 // HostService is a service of a document.
 type HostService struct {
 	Name string
+	// HealthPath is where its backend servers tell whether they are healthy.
+	HealthPath string
 	// Connections bounds the connections to one endpoint from all nodes.
 	Connections int
 }
@@ -173,7 +175,7 @@
 		priorities: map[string]call.Priority{},
 	}
 	for _, s := range d.Services {
-		v.Services[s.Name] = Service{Connections: s.Connections}
+		v.Services[s.Name] = Service{Connections: s.Connections, HealthPath: s.HealthPath}
 	}
 	for _, a := range d.Accounts {
 		v.addAccount(a)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,9 @@
 	Slots int `json:"slots"`
 	// Connections bounds the connections to one endpoint.
 	Connections int `json:"connections"`
+	// HealthPath is where a backend server tells whether it is healthy, where the
+	// settings are a Document.
+	HealthPath string `json:"-"`
 }
 
 // Account is a client account with a rate that counts over the whole fleet.
--- a/internal/system/lease/lease.go
+++ b/internal/system/lease/lease.go
@@ -66,6 +66,8 @@
 	// released is set where the holder before gave the lease up and left estates.
 	released bool
 	estates  map[string]escrow.Estate
+	// ended is when the holder before had surely ended.
+	ended clock.Time
 	// renewed is when the last renewal was asked for, until when the lease ends.
 	renewed, until clock.Time
 }
@@ -89,6 +91,9 @@
 
 	estates func() map[string]escrow.Estate
 
+	// started is when this start of the node began.
+	started clock.Time
+
 	leaving    atomic.Bool
 	candidates atomic.Pointer[candidates]
 
@@ -109,7 +114,7 @@
 // New returns a manager without a lease.
 func New(self dispatch.Self, deployment string, c clock.Clock, s platform.Store, m *table.Members, log zerolog.Logger) *Manager {
 	none := func() map[string]escrow.Estate { return nil }
-	return &Manager{self: self, deployment: deployment, clock: c, store: s, members: m, log: log, estates: none}
+	return &Manager{self: self, deployment: deployment, clock: c, store: s, members: m, log: log, estates: none, started: c.Now()}
 }
 
 // Bequeath makes a release leave what f returns. Call it before Run.
@@ -143,6 +148,16 @@
 	}, true
 }
 
+// Ended implements shares.Heir.
+func (m *Manager) Ended(int) (clock.Time, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.held == nil || m.held.ended == 0 {
+		return 0, false
+	}
+	return m.held.ended, true
+}
+
 // Inherited implements shares.Heir. An account that the holder before never knew is as
 // good as full, which the caller's limits bound.
 func (m *Manager) Inherited(_ int, account string) (escrow.Estate, bool) {
@@ -237,31 +252,34 @@
 		m.log.Error().Err(err).Uint64("row", old.Version).Msg("lease row cannot be read")
 		x = row{}
 	}
-	if !m.ended(old, x) {
+	ended, ok := m.ended(old, x)
+	if !ok {
 		return nil
 	}
-	next := holding{epoch: x.Epoch + 1, renewed: asked, until: asked.Add(Term)}
+	next := holding{epoch: x.Epoch + 1, ended: ended, renewed: asked, until: asked.Add(Term)}
 	if x.Released && x.Estates != nil {
 		next.released, next.estates = true, x.Estates
 	}
 	return m.write(ctx, old.Version, next)
 }
 
-// ended reports whether the holder of a row surely acts no more.
-func (m *Manager) ended(old platform.Row, x row) bool {
-	if x.Released || x.Node == m.self.ID {
-		return true
+// ended returns since when the holder of a row surely acts no more; false if it may.
+func (m *Manager) ended(old platform.Row, x row) (clock.Time, bool) {
+	now := m.clock.Now()
+	if x.Node == m.self.ID && x.Incarnation != m.self.Incarnation {
+		return m.started, true
 	}
-	if member, ok := m.members.Get(x.Node); ok && member.Incarnation > x.Incarnation {
-		return true
+	member, known := m.members.Get(x.Node)
+	if x.Released || x.Node == m.self.ID || known && member.Incarnation > x.Incarnation {
+		return now, true
 	}
-	now := m.clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.wait.version != old.Version {
 		m.wait.version, m.wait.since = old.Version, now
 	}
-	return now.Sub(m.wait.since) > Term+driftMargin
+	end := m.wait.since.Add(Term + driftMargin)
+	return end, end.Before(now)
 }
 
 func (m *Manager) pause(until clock.Time) {
--- a/internal/system/membership/rows.go
+++ b/internal/system/membership/rows.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"comfreycart.dev/comfreycart/internal/decide/gossip"
 	"comfreycart.dev/comfreycart/internal/platform"
 	"comfreycart.dev/comfreycart/internal/table"
 )
@@ -16,6 +18,10 @@
 const (
 	// registerRetry is the time between two tries to write the own row.
 	registerRetry = time.Second
+	// greetings is how often the contacts are told of a start at the most, greetRetry
+	// the time between two.
+	greetings  = 4
+	greetRetry = 300 * time.Millisecond
 	// joinRetry is the time between two reads of the rows while no member is known.
 	joinRetry = 5 * time.Second
 	// maxContacts bounds the contacts taken from the rows.
@@ -49,8 +55,11 @@
 			return
 		}
 	}
+	m.greet(ctx)
 	for pause(ctx, joinRetry) && m.alone() {
-		_ = m.readContacts(ctx)
+		if err := m.readContacts(ctx); err != nil {
+			m.log.Warn().Err(err).Msg("contacts not read at the platform yet")
+		}
 	}
 	for pause(ctx, cleanInterval) {
 		m.clean(ctx)
@@ -104,6 +113,39 @@
 
 func rowPrefix(deployment string) string { return "member/" + deployment + "/" }
 
+// greet tells the contacts of this start at once, and those that do not answer a few
+// times more: after a restart of all, each of them comes up at its own time.
+func (m *Manager) greet(ctx context.Context) {
+	m.mu.Lock()
+	silent := m.machine.Contacts()
+	m.mu.Unlock()
+	for range greetings {
+		silent = m.greetOnce(ctx, silent)
+		if len(silent) == 0 || !pause(ctx, greetRetry) {
+			return
+		}
+	}
+}
+
+// greetOnce returns the contacts that gave no answer.
+func (m *Manager) greetOnce(ctx context.Context, contacts []string) []string {
+	var mu sync.Mutex
+	var silent []string
+	var wg sync.WaitGroup
+	for _, address := range contacts {
+		wg.Go(func() {
+			if m.ask(ctx, gossip.Target{Address: address}, reviveTimeout) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			silent = append(silent, address)
+		})
+	}
+	wg.Wait()
+	return silent
+}
+
 // readContacts takes a few members from the rows to join by.
 func (m *Manager) readContacts(ctx context.Context) error {
 	rows, err := m.store.Scan(ctx, m.rowKey(""))
--- a/internal/system/shares/home.go
+++ b/internal/system/shares/home.go
@@ -41,10 +41,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.known || s.since != home.Since {
-		s.known, s.since, s.first, s.start = true, home.Since, home.First, now.Add(escrow.Term+escrow.DriftMargin)
-		if home.First {
-			s.start = now
-		}
+		s.known, s.since, s.first = true, home.Since, home.First
+		s.start = m.accrualStart(now, i, home.First)
 	}
 	return tenure{since: s.since, start: s.start, first: s.first}, true
 }
@@ -62,6 +60,21 @@
 	return &e
 }
 
+// accrualStart is when buckets of a slot newly owned begin to accrue: once the grants of
+// the predecessor have surely ended.
+func (m *Manager) accrualStart(now clock.Time, slot int, first bool) clock.Time {
+	if first {
+		return now
+	}
+	ended := now
+	if heir, ok := m.homes.(Heir); ok {
+		if at, known := heir.Ended(slot); known {
+			ended = min(ended, at)
+		}
+	}
+	return ended.Add(escrow.Term + escrow.DriftMargin)
+}
+
 // homeAccount is an account whose home in this domain this node is.
 type homeAccount struct {
 	name string
--- a/internal/system/shares/shares.go
+++ b/internal/system/shares/shares.go
@@ -48,6 +48,9 @@
 
 // Heir is implemented by Homes that know what a predecessor left.
 type Heir interface {
+	// Ended returns since when that predecessor has surely granted nothing; false means
+	// that it is unknown.
+	Ended(slot int) (clock.Time, bool)
 	// Inherited returns what the predecessor of this node's present ownership of a slot
 	// left for an account; false means that it is unknown.
 	Inherited(slot int, account string) (escrow.Estate, bool)
--- a/internal/table/locals.go
+++ b/internal/table/locals.go
@@ -73,6 +73,25 @@
 	if known && !a.newer(old) {
 		return false
 	}
+	t.put(a, now)
+	return true
+}
+
+// Find takes in what this node found out about a backend server, unless that has
+// announced itself.
+func (t *Locals) Find(a Announcement, now clock.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, known := t.rows[a.Service]; known {
+		return false
+	}
+	t.put(a, now)
+	return true
+}
+
+// put replaces the row of a service; the table's lock is held.
+func (t *Locals) put(a Announcement, now clock.Time) {
+	old, known := t.rows[a.Service]
 	l := Local{
 		Service: a.Service, Address: a.Address, Slots: a.Slots, State: a.State,
 		Instance: a.Instance, Born: a.Born, Sequence: a.Sequence, Heard: now,
@@ -84,7 +103,6 @@
 	if !known || old.State != l.State || old.Instance != l.Instance || !old.Born.Equal(l.Born) || old.Slots != l.Slots {
 		t.changes++
 	}
-	return true
 }
 
 // newer reports whether a replaces what is known of its service.
@@ -105,7 +123,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for service, l := range t.rows {
-		if l.Instance != a.Instance || !a.Born.IsZero() && !a.Born.Equal(l.Born) {
+		if l.Instance != a.Instance || !a.Born.IsZero() && !l.Born.IsZero() && !a.Born.Equal(l.Born) {
 			continue
 		}
 		if l.State != Draining {
