A refusal by a backend server with room cuts no limit and is sent elsewhere

Each refusal cut the adaptive limit, down to one call (2876 queue-full in the nodes' logs beside 1533 shed-by-backend), and one refused sub-call of eight failed a whole confirmation. Ruled out: load, the endpoints' own word shows free slots; quotas, over-rate is the flooding account's. Change: an answer's word on the load decides whether a shed tells of capacity; a refusal with room spends the service's retry budget, not the request's allowance, at most three times; new requests leave 0.3 of a budget to sub-calls.

--- a/internal/call/failure.go
+++ b/internal/call/failure.go
@@ -22,22 +22,24 @@
 
 // The reasons of refusals and failures.
 const (
-	BadRequest         Reason = "bad-request"
-	NoRoute            Reason = "no-route"
-	KeyUnknown         Reason = "key-unknown"
-	BodyTooLarge       Reason = "body-too-large"
-	OverRate           Reason = "over-rate"
-	SettingsMissing    Reason = "settings-missing"
-	SettingsStale      Reason = "settings-stale"
-	HandleUnknown      Reason = "handle-unknown"
-	NoEndpoint         Reason = "no-endpoint"
-	PeerUnreachable    Reason = "peer-unreachable"
-	PeerLost           Reason = "peer-lost"
-	Draining           Reason = "draining"
-	QueueFull          Reason = "queue-full"
-	QueueTimeout       Reason = "queue-timeout"
-	ShedAtEntry        Reason = "shed-at-entry"
-	ShedByBackend      Reason = "shed-by-backend"
+	BadRequest      Reason = "bad-request"
+	NoRoute         Reason = "no-route"
+	KeyUnknown      Reason = "key-unknown"
+	BodyTooLarge    Reason = "body-too-large"
+	OverRate        Reason = "over-rate"
+	SettingsMissing Reason = "settings-missing"
+	SettingsStale   Reason = "settings-stale"
+	HandleUnknown   Reason = "handle-unknown"
+	NoEndpoint      Reason = "no-endpoint"
+	PeerUnreachable Reason = "peer-unreachable"
+	PeerLost        Reason = "peer-lost"
+	Draining        Reason = "draining"
+	QueueFull       Reason = "queue-full"
+	QueueTimeout    Reason = "queue-timeout"
+	ShedAtEntry     Reason = "shed-at-entry"
+	ShedByBackend   Reason = "shed-by-backend"
+	// RefusedByBackend is a shed although the backend server had room.
+	RefusedByBackend   Reason = "refused-by-backend"
 	BackendUnreachable Reason = "backend-unreachable"
 	BackendLost        Reason = "backend-lost"
 	AnswerTruncated    Reason = "answer-truncated"
@@ -61,7 +63,7 @@
 var Reasons = []Reason{
 	BadRequest, NoRoute, KeyUnknown, BodyTooLarge, OverRate, SettingsMissing,
 	SettingsStale, HandleUnknown, NoEndpoint, PeerUnreachable, PeerLost, Draining,
-	QueueFull, QueueTimeout, ShedAtEntry, ShedByBackend, BackendUnreachable,
+	QueueFull, QueueTimeout, ShedAtEntry, ShedByBackend, RefusedByBackend, BackendUnreachable,
 	BackendLost, AnswerTruncated, AnswerTooLarge, DeadlinePassed, Cancelled, Fenced,
 	RepeatRunning, RepeatUnknown, RepeatMismatch, ClaimUnreachable, ClaimsFull, SharesUnreachable, NoMemory, Internal,
 	BackendError,
--- a/internal/decide/budget/budget.go
+++ b/internal/decide/budget/budget.go
@@ -45,10 +45,15 @@
 }
 
 // Take spends one retry and reports whether there was one.
-func (b *Budget) Take() bool {
+func (b *Budget) Take() bool { return b.TakeAbove(0) }
+
+// TakeAbove spends one retry unless less than the given part of a full budget would be
+// left, and reports whether it did.
+func (b *Budget) TakeAbove(part float64) bool {
+	least := int64(part*float64(b.most())) + milli
 	for {
 		left := b.left.Load()
-		if left < milli {
+		if left < least {
 			return false
 		}
 		if b.left.CompareAndSwap(left, left-milli) {
--- a/internal/system/dispatch/budget.go
+++ b/internal/system/dispatch/budget.go
@@ -8,6 +8,9 @@
 	"comfreycart.dev/comfreycart/internal/metric"
 )
 
+// keptForSubCalls is the part of a full budget that new requests leave.
+const keptForSubCalls = 0.3
+
 // budgets bounds the retries to each service. It is safe for concurrent use.
 type budgets struct {
 	metric *metric.Set
@@ -26,9 +29,15 @@
 // succeed records a call that was answered.
 func (b *budgets) succeed(service string) { b.of(service).Succeed() }
 
-// take spends a retry because of r, and reports whether there was one.
-func (b *budgets) take(service string, r call.Reason) bool {
-	if b.of(service).Take() {
+// takeFor spends a retry of c because of r, and reports whether there was one. New
+// requests leave a part of the budget to the sub-calls of requests under way, whose work
+// would be lost.
+func (b *budgets) takeFor(c *call.Call, r call.Reason) bool {
+	keep := 0.0
+	if c.Depth == 0 && c.KeepsAllowance {
+		keep = keptForSubCalls
+	}
+	if b.of(c.Service).TakeAbove(keep) {
 		return true
 	}
 	b.metric.Counter("comfreycart_retries_denied_total", "reason", string(r)).Inc()
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -65,9 +65,12 @@
 	ran := false
 	var tried []*table.Endpoint
 	left := c.Allowance
-	moves := 0
+	moves, refusals := 0, 0
 	for {
 		e := d.pick(c.Service, tried)
+		if e == nil && refusedThere(&last) && refusals < maxRefusals {
+			e = d.pick(c.Service, nil)
+		}
 		if e == nil {
 			return d.exhausted(last, c, left)
 		}
@@ -88,7 +91,12 @@
 			d.metric.Retried(reason)
 			continue
 		}
-		if !again || left == 0 || !d.budgets.take(c.Service, reason) {
+		if again && refusals < maxRefusals && refusedThere(&last) && d.budgets.takeFor(c, reason) {
+			refusals++
+			d.metric.Retried(reason)
+			continue
+		}
+		if !again || left == 0 || !d.budgets.takeFor(c, reason) {
 			return last
 		}
 		left--
--- a/internal/system/dispatch/retry.go
+++ b/internal/system/dispatch/retry.go
@@ -15,6 +15,10 @@
 // maxMoves bounds how often one hop turns elsewhere without spending its allowance.
 const maxMoves = 8
 
+// maxRefusals bounds how often one hop turns elsewhere because an endpoint that had room
+// refused; at half of all refused, one call in sixteen is still refused after it.
+const maxRefusals = 3
+
 // kept is the part of an allowance that a hop does not pass on with an attempt: one
 // retry, if one is left for the hops below. A lost answer takes along what was passed on.
 func kept(c *call.Call, left int) int {
@@ -39,6 +43,15 @@
 	return false
 }
 
+// refusedThere reports whether an endpoint refused the call for a reason of its own, so
+// that it may run elsewhere or later. Such a refusal reached the backend server, so
+// turning elsewhere spends the service's budget, but not the request's allowance, which
+// bounds runs.
+func refusedThere(r *call.Result) bool {
+	return r.Failure != nil && r.Failure.Outcome == call.NotRun && !r.Overloaded &&
+		(r.Failure.Reason == call.RefusedByBackend || r.Failure.Reason == call.ShedByBackend)
+}
+
 // settle asks for proof that a lost call did not run. A call that is proven not to
 // have run has spent nothing.
 func (d *Dispatcher) settle(ctx context.Context, e *table.Endpoint, attempt *call.Call, r *call.Result) {
--- a/internal/system/serve/dialect.go
+++ b/internal/system/serve/dialect.go
@@ -25,6 +25,8 @@
 	// NotRun reports whether an answer proves that the call did not run, and whether
 	// the reason is that the address now belongs to another instance.
 	NotRun(resp *http.Response, called bool) (notRun, moved bool)
+	// Load reads what an answer tells of the backend server's load; false if nothing.
+	Load(resp *http.Response) (Load, bool)
 	// Traits tells what else to expect of backend servers.
 	Traits() Traits
 	// Passable reports whether an answer can be given to the caller as it is.
@@ -41,6 +43,14 @@
 	ShedsAlone bool
 }
 
+// Load is a backend server's own word on its load, in calls.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// hasRoom reports whether a call could have run at once.
+func (l Load) hasRoom() bool { return l.Waiting == 0 && l.Running < l.Slots }
+
 // Headers between a node and its backend servers.
 const (
 	HeaderAccount = "Comfreycart-Account"
@@ -105,6 +115,9 @@
 		!called, false
 }
 
+// Load implements Dialect.
+func (*Own) Load(*http.Response) (Load, bool) { return Load{}, false }
+
 // Traits implements Dialect.
 func (*Own) Traits() Traits { return Traits{} }
 
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -184,6 +184,8 @@
 	switch {
 	case moved:
 		r.Failure = call.Refuse(call.NoEndpoint, "another instance has the address of %s", c.Service)
+	case notRun && s.refusedWithRoom(resp):
+		r.Failure = call.Refuse(call.RefusedByBackend, "the backend server of %s refused the call although it had room", c.Service).After(shedRetryAfter)
 	case notRun:
 		r.Failure = call.Refuse(call.ShedByBackend, "the backend server of %s shed the call", c.Service).After(shedRetryAfter)
 		r.Overloaded = !s.dialect.Traits().ShedsAlone || st.gate.Feedback().Queued > 0
@@ -194,6 +196,12 @@
 	}
 }
 
+// refusedWithRoom reports whether a shed tells nothing of the backend server's capacity.
+func (s *Server) refusedWithRoom(resp *http.Response) bool {
+	l, ok := s.dialect.Load(resp)
+	return ok && l.hasRoom()
+}
+
 // shedRetryAfter is what a caller is asked to wait after its call was shed everywhere;
 // an endpoint's limit follows its sheds within a few tenths of a second.
 const shedRetryAfter = 500 * time.Millisecond
