Failures and load below a call are seen by time where nothing ties sub-calls to it

Cause: on the users' platform a sub-call does not name its call, so a run that failed because of a sub-call was retried above, where its sub-calls ran again, and senders never learnt of the load below. Ruled out: tying by the deadline, which several calls share.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"comfreycart.dev/comfreycart/internal/entry"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/internal/table"
 )
 
 // settingsRetryAfter is what a caller is asked to wait for a node's first settings,
@@ -64,6 +65,7 @@
 	shares     entry.Shares
 	dispatcher entry.Dispatcher
 	dialect    Dialect
+	calls      *table.Calls
 	splits     splits
 	metric     *metric.Set
 	seconds    *metrics.Histogram
@@ -71,9 +73,9 @@
 }
 
 // New returns a handler.
-func New(c clock.Clock, v entry.Views, f Freshness, s entry.Shares, d entry.Dispatcher, dialect Dialect, m *metric.Set, log zerolog.Logger) *Handler {
+func New(c clock.Clock, v entry.Views, f Freshness, s entry.Shares, d entry.Dispatcher, dialect Dialect, calls *table.Calls, m *metric.Set, log zerolog.Logger) *Handler {
 	return &Handler{
-		clock: c, views: v, freshness: f, shares: s, dispatcher: d, dialect: dialect,
+		clock: c, views: v, freshness: f, shares: s, dispatcher: d, dialect: dialect, calls: calls,
 		metric: m, seconds: m.Histogram("comfreycart_request_seconds"), log: log,
 	}
 }
@@ -141,7 +143,11 @@
 	if !h.clock.Now().Before(c.Deadline) {
 		return call.Result{Failure: call.Refuse(call.DeadlinePassed, "the deadline passed before the request was sent on")}
 	}
-	return h.dispatcher.Do(ctx, c)
+	result := h.dispatcher.Do(ctx, c)
+	if c.Depth > 0 {
+		h.calls.NoteUntied(h.clock.Now(), &result)
+	}
+	return result
 }
 
 // admit checks a request against the settings in force. A refused request does not run.
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -119,7 +119,7 @@
 	limits := provideRetries(c, members)
 	dispatcher := dispatch.New(self, boot, endpoints, client, server, limits, set)
 	ingressDialect := provideCallerDialect(c)
-	handler := ingress.New(boot, current, follower, sharesManager, dispatcher, ingressDialect, set, logger)
+	handler := ingress.New(boot, current, follower, sharesManager, dispatcher, ingressDialect, calls, set, logger)
 	frontServer := provideFront(c, current, handler, set, logger)
 	announceHandler := provideAnnounce(c, boot, locals, server, set, logger)
 	readyHandler := provideReady(c, current, follower, logger)
