Few nodes watch the operators' document, the others ask them

Ruled out: longer watches, since a watch on a silent connection must end within the bound of a change. Change: the two members of a failure domain that started first (one more for each 50) watch; the others ask one of them every 0.6 s and get its age with the answer, and the platform where no reader has a fresh one. The newest of the row's states counts there too. Readers watch 0.7 s at a time, a node is not ready from 3 s of age.

--- a/internal/config/mesh.go
+++ b/internal/config/mesh.go
@@ -46,7 +46,7 @@
 const silentHeartbeats = 6
 
 // readyPart is the part of the key staleness from which a node is not ready.
-const readyPart = 0.5
+const readyPart = 0.6
 
 // Silence is how long after its last announcement a backend server gets new work.
 func (m *Mesh) Silence() time.Duration {
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -60,6 +60,7 @@
 		wire.Bind(new(dispatch.Local), new(*serve.Server)),
 		wire.Bind(new(peer.Syncer), new(*membership.Manager)),
 		wire.Bind(new(peer.SettingsSource), new(*settingsync.Follower)),
+		wire.Value(peer.Unserved{}), wire.Bind(new(peer.DocumentSource), new(peer.Unserved)),
 		wire.Bind(new(peer.ShareHome), new(*shares.Manager)),
 		wire.Bind(new(peer.ClaimHome), new(*claims.Manager)),
 	)
@@ -92,6 +93,8 @@
 		wire.Bind(new(dispatch.Local), new(*serve.Server)),
 		wire.Bind(new(peer.Syncer), new(*membership.Manager)),
 		wire.Bind(new(peer.SettingsSource), new(peer.Unserved)),
+		wire.Bind(new(peer.DocumentSource), new(*document.Follower)),
+		wire.Bind(new(document.Peers), new(*peer.Client)),
 		wire.Bind(new(peer.ShareHome), new(*shares.Manager)),
 		wire.Bind(new(peer.ClaimHome), new(peer.Unserved)),
 	)
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -69,7 +69,8 @@
 	membershipOptions := provideMembershipOptions(c, self)
 	transport := membership.NewTransport(client)
 	membershipManager := membership.New(membershipOptions, boot, members, endpoints, locals, transport, store, set, logger)
-	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, follower, sharesManager, claimsManager)
+	unserved := _wireUnservedValue
+	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, follower, sharesManager, claimsManager, unserved)
 	node := &Node{
 		Config:     c,
 		Log:        logger,
@@ -91,6 +92,10 @@
 	return node, nil
 }
 
+var (
+	_wireUnservedValue = peer.Unserved{}
+)
+
 // NewMesh puts a mesh's node together; Run starts it.
 func NewMesh(c *config.Node, log BaseLog) (*Mesh, error) {
 	current := &settingsync.Current{}
@@ -99,17 +104,17 @@
 	boot := clock.Boot{}
 	options := provideDocumentOptions(c)
 	store := provideStore(c)
-	follower := document.New(options, boot, store, current, set, logger)
-	self := provideMeshSelf(c, store, logger)
 	endpoints := table.NewEndpoints(boot)
 	members := table.NewMembers(boot, endpoints)
-	manager := provideLeases(self, c, boot, store, members, logger)
 	source := provideSource(c)
 	tlsConfig, err := providePeerTLS(c, logger)
 	if err != nil {
 		return nil, err
 	}
 	client := peer.NewClient(boot, source, tlsConfig)
+	follower := document.New(options, boot, store, current, members, client, set, logger)
+	self := provideMeshSelf(c, store, logger)
+	manager := provideLeases(self, c, boot, store, members, logger)
 	sharesManager := shares.New(self, boot, current, manager, manager, client, set)
 	calls := table.NewCalls()
 	locals := provideLocals(c)
@@ -126,8 +131,8 @@
 	membershipOptions := provideMembershipOptions(c, self)
 	transport := membership.NewTransport(client)
 	membershipManager := membership.New(membershipOptions, boot, members, endpoints, locals, transport, store, set, logger)
-	unserved := _wireUnservedValue
-	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, unserved, sharesManager, unserved)
+	unserved := _wirePeerUnservedValue
+	peerServer := peer.NewServer(self, boot, logger, server, fenceTable, membershipManager, unserved, sharesManager, unserved, follower)
 	finder := provideFinder(c, boot, current, locals, logger)
 	mesh := &Mesh{
 		Config:     c,
@@ -150,5 +155,5 @@
 }
 
 var (
-	_wireUnservedValue = peer.Unserved{}
+	_wirePeerUnservedValue = peer.Unserved{}
 )
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -114,6 +114,11 @@
 	return c.To(ctx, address).Handover(ctx, req)
 }
 
+// Follow asks the node at address for the operators' document.
+func (c *Client) Follow(ctx context.Context, address string, req *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
+	return c.To(ctx, address).Follow(ctx, req)
+}
+
 // Draw asks the node at address for tokens and reports on earlier grants.
 func (c *Client) Draw(ctx context.Context, address string, req *peerpb.DrawRequest) (*peerpb.DrawReply, error) {
 	return c.To(ctx, address).Draw(ctx, req)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -33,6 +33,11 @@
 	HandleNotice(ctx context.Context, req *peerpb.NoticeRequest) (*peerpb.NoticeReply, error)
 }
 
+// DocumentSource has the operators' document for other nodes.
+type DocumentSource interface {
+	HandleFollow(ctx context.Context, req *peerpb.FollowRequest) (*peerpb.FollowReply, error)
+}
+
 // ShareHome hands out tokens of the accounts whose home this node is.
 type ShareHome interface {
 	HandleDraw(ctx context.Context, req *peerpb.DrawRequest) (*peerpb.DrawReply, error)
@@ -56,6 +61,7 @@
 	settings SettingsSource
 	shares   ShareHome
 	claims   ClaimHome
+	document DocumentSource
 
 	handler counted
 	conns   atomic.Pointer[connections]
@@ -66,10 +72,10 @@
 
 // NewServer returns a server that hands each message to the system it is for.
 func NewServer(self dispatch.Self, c clock.Clock, log zerolog.Logger, local dispatch.Local, fences *fence.Table,
-	syncer Syncer, settings SettingsSource, shares ShareHome, claims ClaimHome) *Server {
+	syncer Syncer, settings SettingsSource, shares ShareHome, claims ClaimHome, document DocumentSource) *Server {
 	return &Server{
 		self: self, clock: c, log: log, local: local, fences: fences,
-		syncer: syncer, settings: settings, shares: shares, claims: claims,
+		syncer: syncer, settings: settings, shares: shares, claims: claims, document: document,
 	}
 }
 
@@ -153,6 +159,11 @@
 	return s.settings.HandleNotice(ctx, req)
 }
 
+// Follow implements the Peer service.
+func (s *Server) Follow(ctx context.Context, req *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
+	return s.document.HandleFollow(ctx, req)
+}
+
 // Draw implements the Peer service.
 func (s *Server) Draw(ctx context.Context, req *peerpb.DrawRequest) (*peerpb.DrawReply, error) {
 	return s.shares.HandleDraw(ctx, req)
--- a/internal/peer/stop_test.go
+++ b/internal/peer/stop_test.go
@@ -29,7 +29,7 @@
 // to have run, since the node still answers.
 func TestCallsLostByCloseAreProven(t *testing.T) {
 	clk := clock.Boot{}
-	s := NewServer(dispatch.Self{ID: "b", Incarnation: 1}, clk, zerolog.Nop(), refuser{}, fence.New(clk), nil, nil, nil, nil)
+	s := NewServer(dispatch.Self{ID: "b", Incarnation: 1}, clk, zerolog.Nop(), refuser{}, fence.New(clk), nil, nil, nil, nil, nil)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/peer/unserved.go
+++ b/internal/peer/unserved.go
@@ -33,6 +33,11 @@
 	return nil, errUnserved
 }
 
+// HandleFollow implements DocumentSource.
+func (Unserved) HandleFollow(context.Context, *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
+	return nil, errUnserved
+}
+
 // HandleClaim implements ClaimHome.
 func (Unserved) HandleClaim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
 	return nil, errUnserved
--- a/internal/system/document/document.go
+++ b/internal/system/document/document.go
@@ -23,13 +23,14 @@
 	"comfreycart.dev/comfreycart/internal/platform"
 	"comfreycart.dev/comfreycart/internal/settings"
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
+	"comfreycart.dev/comfreycart/internal/table"
 )
 
 const (
 	// watchTime is how long one watch waits for a change. With the time of a call it
 	// stays well below the bound in which a change must be in force, also where a watch
 	// was asked on a connection that has fallen silent.
-	watchTime = 900 * time.Millisecond
+	watchTime = 700 * time.Millisecond
 	// firstPause and longestPause are the pauses between questions while the platform
 	// gives no answer; refused questions are charged too.
 	firstPause   = 100 * time.Millisecond
@@ -51,6 +52,8 @@
 	Domains []string
 	// KeyStaleness is how long a withdrawn key may still work.
 	KeyStaleness time.Duration
+	// ID and Domain are this node's.
+	ID, Domain string
 }
 
 // Follower follows the document. It is safe for concurrent use.
@@ -59,25 +62,33 @@
 	clock   clock.Clock
 	store   platform.Store
 	current *settingsync.Current
+	members *table.Members
+	peers   Peers
 	log     zerolog.Logger
 	invalid *metrics.Counter
+	asked   *metrics.Counter
+	relayed *metrics.Counter
 
 	// confirmed is when the question was asked that last showed the settings to be in
 	// force; 0 before the first.
 	confirmed atomic.Int64
 
 	mu sync.Mutex
-	// row is the newest version of the row that was seen, valid whether it is in force.
-	row   uint64
+	// row is the newest state of the row that was seen, valid whether it can be used.
+	row   platform.Row
 	valid bool
+	// after is where the next watch continues; 0 means that the row is to be read.
+	after uint64
 	lost  bool
 }
 
 // New returns a follower that installs into current.
-func New(o Options, c clock.Clock, s platform.Store, cur *settingsync.Current, m *metric.Set, log zerolog.Logger) *Follower {
+func New(o Options, c clock.Clock, s platform.Store, cur *settingsync.Current, members *table.Members, p Peers, m *metric.Set, log zerolog.Logger) *Follower {
 	f := &Follower{
-		Options: o, clock: c, store: s, current: cur, log: log,
+		Options: o, clock: c, store: s, current: cur, members: members, peers: p, log: log,
 		invalid: m.Counter("comfreycart_invalid_settings_total"),
+		asked:   m.Counter("comfreycart_settings_questions_total", "to", "platform"),
+		relayed: m.Counter("comfreycart_settings_questions_total", "to", "node"),
 	}
 	m.Gauge("comfreycart_settings_staleness_seconds", func() float64 { return f.Age().Seconds() })
 	m.Gauge("comfreycart_settings_version", func() float64 {
@@ -109,6 +120,10 @@
 func (f *Follower) Run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
+		if f.followOther(ctx) {
+			pause = firstPause
+			continue
+		}
 		err := f.Step(ctx)
 		if err == nil {
 			pause = firstPause
@@ -130,9 +145,10 @@
 
 // Step asks once: for the row if none is known, otherwise for its next change.
 func (f *Follower) Step(ctx context.Context) error {
+	f.asked.Inc()
 	asked := f.clock.Now()
 	f.mu.Lock()
-	after := f.row
+	after := f.after
 	f.mu.Unlock()
 	if after == 0 {
 		row, err := f.store.Get(ctx, f.Row)
@@ -169,15 +185,15 @@
 func (f *Follower) forget() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.log.Info().Uint64("row", f.row).Msg("history of the settings is gone, reading them anew")
-	f.row = 0
+	f.log.Info().Uint64("row", f.row.Version).Msg("history of the settings is gone, reading them anew")
+	f.after = 0
 }
 
 // take puts the document of a row in force, unless it is invalid or not newer.
 func (f *Follower) take(row platform.Row) {
 	view := f.compile(row)
 	f.mu.Lock()
-	f.valid = view != nil
+	f.row, f.valid = row, view != nil
 	if old := f.current.View(); view != nil && (old == nil || view.Version > old.Version) {
 		f.current.Install(view)
 		f.log.Info().Uint64("version", view.Version).Uint64("row", row.Version).
@@ -200,12 +216,12 @@
 	return settings.CompileDocument(d, f.Domains)
 }
 
-// confirm notes that up to a version of the row nothing newer is known at asked. While
+// confirm notes that the newest row was known at asked, and where to watch on. While
 // the newest document cannot be used, the one in force is not confirmed.
-func (f *Follower) confirm(row uint64, asked clock.Time) {
+func (f *Follower) confirm(after uint64, asked clock.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.row = row
+	f.after = after
 	if f.valid && int64(asked) > f.confirmed.Load() {
 		f.confirmed.Store(int64(asked))
 	}
--- a/internal/system/document/document_test.go
+++ b/internal/system/document/document_test.go
@@ -1,6 +1,8 @@
 package document
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http/httptest"
 	"testing"
@@ -11,8 +13,10 @@
 
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/peer/peerpb"
 	"comfreycart.dev/comfreycart/internal/settings"
 	"comfreycart.dev/comfreycart/internal/system/settingsync"
+	"comfreycart.dev/comfreycart/internal/table"
 	adapter "comfreycart.dev/comfreycart/platform"
 	standin "comfreycart.dev/comfreycart/test/standin/platform"
 )
@@ -23,20 +27,45 @@
 	*Follower
 	clock   *clock.Fake
 	store   *standin.Server
+	url     string
+	members *table.Members
 	current *settingsync.Current
+	// others has the followers of other nodes by address.
+	others map[string]*Follower
+}
+
+// Follow implements Peers.
+func (r *rig) Follow(ctx context.Context, address string, req *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
+	if f := r.others[address]; f != nil {
+		return f.HandleFollow(ctx, req)
+	}
+	return nil, errors.New("unreachable")
 }
 
 func newRig(t *testing.T) *rig {
-	r := &rig{clock: &clock.Fake{}, store: standin.New(), current: &settingsync.Current{}}
+	clk := &clock.Fake{}
+	r := &rig{
+		clock: clk, store: standin.New(), members: table.NewMembers(clk, table.NewEndpoints(clk)),
+		current: &settingsync.Current{}, others: map[string]*Follower{},
+	}
 	server := httptest.NewServer(r.store.Handler())
 	t.Cleanup(server.Close)
+	r.url = server.URL
+	r.clock.Advance(time.Hour)
+	r.Follower = r.follower("n1", r.current)
+	return r
+}
+
+func (r *rig) follower(id string, cur *settingsync.Current) *Follower {
 	o := Options{
 		Table: adapter.OperatorTable, Row: adapter.OperatorRow, Decode: adapter.Document,
-		Domains: []string{"a"}, KeyStaleness: 5 * time.Second,
+		Domains: []string{"a"}, KeyStaleness: 5 * time.Second, ID: id, Domain: "a",
 	}
-	r.clock.Advance(time.Hour)
-	r.Follower = New(o, r.clock, adapter.NewStore(server.URL, time.Second), r.current, metric.NewSet(), zerolog.Nop())
-	return r
+	return New(o, r.clock, adapter.NewStore(r.url, time.Second), cur, r.members, r, metric.NewSet(), zerolog.Nop())
+}
+
+func (r *rig) join(id string, incarnation uint64) {
+	r.members.Merge(table.Member{ID: id, Incarnation: incarnation, Domain: "a", Address: id, State: table.Alive})
 }
 
 func (r *rig) put(version int, keys string) {
@@ -128,3 +157,32 @@
 	go r.Run(t.Context())
 	require.Eventually(t, func() bool { return r.view().Version == 5 }, 5*time.Second, time.Millisecond)
 }
+
+// The members that started first watch the platform; the others ask them, and the
+// platform only where no reader has a fresh answer.
+func TestOthersFollowTheReadersOfTheirDomain(t *testing.T) {
+	r := newRig(t)
+	r.put(3, `"k1","k2"`)
+	other := &settingsync.Current{}
+	last := r.follower("n9", other)
+	for i, id := range []string{"n1", "n2", "n9"} {
+		r.join(id, uint64(i+1))
+	}
+	r.others["n1"] = r.Follower
+	require.False(t, r.followOther(t.Context()), "a reader asks the platform")
+	require.NoError(t, r.Step(t.Context()))
+	require.False(t, last.followOther(t.Context()), "a new node asks the platform first")
+	require.NoError(t, last.Step(t.Context()))
+
+	r.put(5, `"k1"`)
+	require.NoError(t, r.Step(t.Context()))
+	r.clock.Advance(time.Second)
+	require.True(t, last.followOther(t.Context()))
+	require.Equal(t, uint64(5), other.View().Version)
+	require.Equal(t, time.Second, last.Age(), "the reader's age is passed on")
+	r.clock.Advance(relayAge)
+	require.False(t, last.followOther(t.Context()), "the reader's answer is stale")
+	require.Equal(t, time.Second+relayAge, last.Age())
+	require.NoError(t, last.Step(t.Context()))
+	require.Nil(t, last.Fresh())
+}
--- a/internal/system/lease/lease.go
+++ b/internal/system/lease/lease.go
@@ -94,8 +94,7 @@
 	// started is when this start of the node began.
 	started clock.Time
 
-	leaving    atomic.Bool
-	candidates atomic.Pointer[candidates]
+	leaving atomic.Bool
 
 	mu   sync.Mutex
 	held *holding
@@ -105,12 +104,6 @@
 	unsettled clock.Time
 }
 
-// candidates are the members that started first, by failure domain.
-type candidates struct {
-	changes  uint64
-	byDomain map[string]table.Member
-}
-
 // New returns a manager without a lease.
 func New(self dispatch.Self, deployment string, c clock.Clock, s platform.Store, m *table.Members, log zerolog.Logger) *Manager {
 	none := func() map[string]escrow.Estate { return nil }
@@ -178,27 +171,11 @@
 
 // candidate returns the usable member of a domain that started first.
 func (m *Manager) candidate(domain string) (table.Member, bool) {
-	changes := m.members.Changes()
-	c := m.candidates.Load()
-	if c == nil || c.changes != changes {
-		c = &candidates{changes: changes, byDomain: map[string]table.Member{}}
-		for _, x := range m.members.All() {
-			old, ok := c.byDomain[x.Domain]
-			if x.Usable() && (!ok || startedBefore(x, old)) {
-				c.byDomain[x.Domain] = x
-			}
-		}
-		m.candidates.Store(c)
-	}
-	x, ok := c.byDomain[domain]
-	return x, ok
-}
-
-func startedBefore(a, b table.Member) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation < b.Incarnation
+	all := m.members.Eldest(domain)
+	if len(all) == 0 {
+		return table.Member{}, false
 	}
-	return a.ID < b.ID
+	return all[0], true
 }
 
 // Run keeps the lease until ctx ends.
--- a/internal/system/shares/bench_test.go
+++ b/internal/system/shares/bench_test.go
@@ -91,7 +91,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	f := newFleet(clock.Boot{}, accounts(1000), domainNames(12)...)
-	server := peer.NewServer(dispatch.Self{}, f.clock, zerolog.Nop(), nil, nil, nil, nil, f.nodes["domain-1"], nil)
+	server := peer.NewServer(dispatch.Self{}, f.clock, zerolog.Nop(), nil, nil, nil, nil, f.nodes["domain-1"], nil, nil)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
 	go func() { _ = server.Serve(ctx, lis) }()
--- a/internal/table/members.go
+++ b/internal/table/members.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -83,6 +84,14 @@
 
 	endpoints *Endpoints
 	changes   atomic.Uint64
+	// eldest caches the answers of Eldest until the next change.
+	eldest atomic.Pointer[eldest]
+}
+
+// eldest has the usable members by failure domain, those that started first first.
+type eldest struct {
+	changes  uint64
+	byDomain map[string][]Member
 }
 
 // NewMembers returns an empty table that keeps endpoints up to date.
@@ -136,6 +145,31 @@
 	return all
 }
 
+// Eldest returns the usable members of a failure domain, those that started first first.
+// Every node with the same view names the same ones, and joins move none. The slice is
+// shared and must not be changed.
+func (t *Members) Eldest(domain string) []Member {
+	changes := t.Changes()
+	e := t.eldest.Load()
+	if e == nil || e.changes != changes {
+		e = &eldest{changes: changes, byDomain: map[string][]Member{}}
+		for _, m := range t.All() {
+			if m.Usable() {
+				e.byDomain[m.Domain] = append(e.byDomain[m.Domain], m)
+			}
+		}
+		for _, list := range e.byDomain {
+			slices.SortFunc(list, startedFirst)
+		}
+		t.eldest.Store(e)
+	}
+	return e.byDomain[domain]
+}
+
+func startedFirst(a, b Member) int {
+	return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), strings.Compare(a.ID, b.ID))
+}
+
 // Refresh puts the endpoints of a member back as its record says.
 func (t *Members) Refresh(id string) {
 	t.mu.Lock()
