--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -144,8 +144,8 @@
 		return call.Result{Failure: call.Refuse(call.DeadlinePassed, "the deadline passed before the request was sent on")}
 	}
 	result := h.dispatcher.Do(ctx, c)
-	if c.Depth > 0 {
-		h.calls.NoteUntied(h.clock.Now(), &result)
+	if c.Depth > 0 && result.Failed() {
+		h.calls.NoteUntied(h.clock.Now())
 	}
 	return result
 }
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -173,9 +173,8 @@
 	if f == nil {
 		s.judge(&r, c, st, below.Called, resp, body)
 	}
-	failed, feedback := s.calls.Untied(begin, s.clock.Now(), running.Tightest(st.gate.Feedback()))
-	r.FailedBelow = r.FailedBelow || failed && r.Failed()
-	r.Feedback = feedback
+	r.FailedBelow = r.FailedBelow || r.Failed() && s.calls.UntiedFailed(begin)
+	r.Feedback = running.Tightest(st.gate.Feedback())
 	return r
 }
 
--- a/internal/table/calls.go
+++ b/internal/table/calls.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"encoding/base64"
 	"sync"
-	"time"
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
@@ -131,47 +130,24 @@
 	untied untied
 }
 
-// untied is the latest failure and load that sub-calls of this VM met.
+// untied is the latest failure that a sub-call of this VM met.
 type untied struct {
 	mu     sync.Mutex
 	failed clock.Time
-	// load is the feedback that admits least, as of heard.
-	load  *call.Feedback
-	heard clock.Time
 }
 
-// untiedAge is how long the load that a sub-call met is taken for that of the calls
-// that run beside it; it is some service times.
-const untiedAge = 300 * time.Millisecond
-
-// NoteUntied takes in what became of a sub-call that nothing ties to its call.
-func (c *Calls) NoteUntied(now clock.Time, r *call.Result) {
+// NoteUntied takes in that a sub-call failed which nothing ties to its call.
+func (c *Calls) NoteUntied(now clock.Time) {
 	c.untied.mu.Lock()
 	defer c.untied.mu.Unlock()
-	if r.Failed() {
-		c.untied.failed = now
-	}
-	f := r.Feedback
-	if f == nil {
-		return
-	}
-	old := c.untied.load
-	if old == nil || now.Sub(c.untied.heard) > untiedAge || old.Tighter(*f) != *old {
-		c.untied.load, c.untied.heard = f, now
-	}
+	c.untied.failed = now
 }
 
-// Untied returns whether a sub-call of this VM failed since a time, and f with the
-// threshold of the sub-calls met lately where that admits less.
-func (c *Calls) Untied(since, now clock.Time, f *call.Feedback) (failed bool, tight *call.Feedback) {
+// UntiedFailed reports whether a sub-call of this VM failed since a time.
+func (c *Calls) UntiedFailed(since clock.Time) bool {
 	c.untied.mu.Lock()
 	defer c.untied.mu.Unlock()
-	failed = c.untied.failed != 0 && !c.untied.failed.Before(since)
-	if c.untied.load == nil || now.Sub(c.untied.heard) > untiedAge {
-		return failed, f
-	}
-	t := f.Tighter(*c.untied.load)
-	return failed, &t
+	return c.untied.failed != 0 && !c.untied.failed.Before(since)
 }
 
 type callShard struct {
