A planned stop ends in its time also if some work does not

The stop itself is bounded; waiting for the background work was not. Change: that wait is bounded by half of the margin, with a log line.

--- a/internal/node/mesh.go
+++ b/internal/node/mesh.go
@@ -56,9 +56,9 @@
 // Run serves until ctx ends, then makes a planned stop and returns nil. An error means
 // that the node could not start.
 func (n *Mesh) Run(ctx context.Context) error {
-	background, stop := context.WithCancel(context.Background())
-	defer n.wg.Wait()
-	defer stop()
+	background, end := context.WithCancel(context.Background())
+	defer n.await()
+	defer end()
 	if err := n.start(background); err != nil {
 		n.closeListeners()
 		return err
@@ -137,6 +137,21 @@
 	}
 }
 
+// await waits for what was started, for a short time: the platform kills a process that
+// is still there at the end of its time, and nothing that counts is under way any more.
+func (n *Mesh) await() {
+	ended := make(chan struct{})
+	go func() {
+		n.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(stopMargin / 2):
+		n.Log.Warn().Msg("some work had not ended at the end of the planned stop")
+	}
+}
+
 func (n *Mesh) spawn(f func()) {
 	n.wg.Add(1)
 	go func() {
