Endpoints that fail a part of their calls are taken last; every attempt is logged

Change: an endpoint's part of failed calls, with a memory of 3 s, counts as load; 0.6 instead of 0.35 of the retry bound, since only the hop next to a failure retries now.

Logs: a line for each failed attempt with what was left of allowance and budget, one for each call refused or failed beside a backend server, bounded in number and counted.

--- a/cmd/comfreycartd/main.go
+++ b/cmd/comfreycartd/main.go
@@ -4,26 +4,20 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/internal/logging"
 	"comfreycart.dev/comfreycart/internal/node"
 )
 
 const (
-	// logLines is how many lines wait for a slow reader of the log before the oldest
-	// are dropped, and logPoll how often the writer looks for new ones.
-	logLines = 1024
-	logPoll  = 50 * time.Millisecond
 	// memoryPart is the part of a process's memory that the collector aims to stay in.
 	memoryPart = 0.8
 	// collectPercent makes the collector run at half the usual growth of the heap: on
@@ -53,11 +47,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	out := diode.NewWriter(os.Stdout, logLines, logPoll, func(missed int) {
-		fmt.Fprintf(os.Stderr, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"lines\":%d}\n", missed)
-	})
+	out := logging.NewWriter(os.Stdout)
 	defer out.Close()
-	log := newLog(out, cfg.ID)
+	log := logging.New(out, cfg.ID)
+	go out.Report(ctx, log)
 	go watchFile(ctx, c.Config, log)
 	n, err := newNode(cfg, log)
 	if err != nil {
@@ -66,10 +59,6 @@
 	return n.Run(ctx)
 }
 
-func newLog(out io.Writer, id string) zerolog.Logger {
-	return zerolog.New(out).With().Timestamp().Str("node", id).Logger()
-}
-
 func newNode(cfg *config.Node, log zerolog.Logger) (runner, error) {
 	if cfg.Mesh == nil {
 		return node.New(cfg, node.BaseLog(log))
--- a/internal/decide/budget/budget.go
+++ b/internal/decide/budget/budget.go
@@ -44,6 +44,9 @@
 	}
 }
 
+// Left is the retries that could be spent now.
+func (b *Budget) Left() float64 { return float64(b.left.Load()) / milli }
+
 // Take spends one retry and reports whether there was one.
 func (b *Budget) Take() bool { return b.TakeAbove(0) }
 
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -174,3 +174,25 @@
 		e.load.End()
 	}
 }
+
+// A near endpoint that fails a part of its calls is left for one that does not, and is
+// tried again later.
+func TestFailingEndpointIsTakenLast(t *testing.T) {
+	near, far := &fakeEndpoint{domain: "a"}, &fakeEndpoint{domain: "b"}
+	for _, e := range []*fakeEndpoint{near, far} {
+		e.load.SetSlots(10, false)
+		e.load.Add(-clock.Time(time.Hour))
+	}
+	all := []*fakeEndpoint{near, far}
+	choose := func(now clock.Time) *fakeEndpoint {
+		return pick.Choose(now, all, "a", nil, func(n int) int { return n - 1 })
+	}
+	now := clock.Time(time.Hour)
+	require.Same(t, near, choose(now))
+	for i := range 40 {
+		near.load.Judge(now, i%3 == 0)
+		far.load.Judge(now, false)
+	}
+	require.Same(t, far, choose(now))
+	require.Same(t, near, choose(now.Add(10*time.Second)))
+}
--- a/internal/decide/pick/load.go
+++ b/internal/decide/pick/load.go
@@ -1,6 +1,8 @@
 package pick
 
 import (
+	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +17,13 @@
 	ejectFor = 500 * time.Millisecond
 	// ejectDoublings bounds the growth of ejections.
 	ejectDoublings = 2
+	// failWeight is the weight of one outcome in the part of calls that an endpoint
+	// fails, and failMemory the time in which that part falls to a third without calls.
+	failWeight = 0.1
+	failMemory = 3 * time.Second
+	// failPenalty is the load per place that an endpoint failing all calls is held to
+	// have besides; at a quarter of calls failed, others are taken before a free one.
+	failPenalty = 4
 	// feedbackAge is how long an endpoint's own view of its load is believed.
 	feedbackAge = 200 * time.Millisecond
 )
@@ -29,6 +38,8 @@
 	feedback atomic.Pointer[call.Feedback]
 	heard    atomic.Int64
 
+	failing failing
+
 	failures  atomic.Int64
 	ejections atomic.Int64
 	until     atomic.Int64
@@ -77,6 +88,39 @@
 	}
 }
 
+// Judge records whether an endpoint failed a call by itself, in whatever way.
+func (l *Load) Judge(now clock.Time, failed bool) { l.failing.add(now, failed) }
+
+// failing is the part of the latest calls that an endpoint failed.
+type failing struct {
+	mu   sync.Mutex
+	part float64
+	at   clock.Time
+}
+
+func (f *failing) add(now clock.Time, failed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.part = f.faded(now) * (1 - failWeight)
+	f.at = now
+	if failed {
+		f.part += failWeight
+	}
+}
+
+func (f *failing) now(now clock.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faded(now)
+}
+
+func (f *failing) faded(now clock.Time) float64 {
+	if f.part == 0 {
+		return 0
+	}
+	return f.part * math.Exp(-now.Sub(f.at).Seconds()/failMemory.Seconds())
+}
+
 // Fail records a call that the endpoint failed, and reports whether it is ejected
 // because of it.
 func (l *Load) Fail(now clock.Time) bool {
@@ -93,7 +137,7 @@
 func (l *Load) Ejected(now clock.Time) bool { return int64(now) < l.until.Load() }
 
 // PerPlace is the load per place: the calls known to be there over the calls that
-// it runs at a time.
+// it runs at a time, and more for an endpoint that fails a part of its calls.
 func (l *Load) PerPlace(now clock.Time) float64 {
 	calls := float64(l.inFlight.Load())
 	places := float64(l.slots.Load())
@@ -103,7 +147,7 @@
 			calls = max(calls, float64(f.InFlight+f.Queued))
 		}
 	}
-	return (calls + 1) / max(1, places*l.ramp(now))
+	return (calls+1)/max(1, places*l.ramp(now)) + failPenalty*l.failing.now(now)
 }
 
 // ramp is the part of its places that a starting endpoint is credited with.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/entry"
+	"comfreycart.dev/comfreycart/internal/logging"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/settings"
 	"comfreycart.dev/comfreycart/internal/table"
@@ -73,10 +74,10 @@
 }
 
 // New returns a handler.
-func New(c clock.Clock, v entry.Views, f Freshness, s entry.Shares, d entry.Dispatcher, dialect Dialect, calls *table.Calls, m *metric.Set, log zerolog.Logger) *Handler {
+func New(c clock.Clock, v entry.Views, f Freshness, s entry.Shares, d entry.Dispatcher, dialect Dialect, calls *table.Calls, m *metric.Set, log logging.RequestLog) *Handler {
 	return &Handler{
 		clock: c, views: v, freshness: f, shares: s, dispatcher: d, dialect: dialect, calls: calls,
-		metric: m, seconds: m.Histogram("comfreycart_request_seconds"), log: log,
+		metric: m, seconds: m.Histogram("comfreycart_request_seconds"), log: zerolog.Logger(log),
 	}
 }
 
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,84 @@
+// Package logging writes a node's log: JSON lines that never hold a request up and whose
+// volume is bounded.
+package logging
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"comfreycart.dev/comfreycart/internal/metric"
+	"comfreycart.dev/comfreycart/internal/system"
+)
+
+const (
+	// waitingLines is how many lines wait for a slow reader before the oldest are
+	// dropped, and poll how often the writer looks for new ones.
+	waitingLines = 1024
+	poll         = 50 * time.Millisecond
+	// linesPerPeriod bounds the lines about requests in each period; a node at the
+	// target size answers about 80 requests a second and passes on as many.
+	linesPerPeriod = 500
+	period         = time.Second
+	// reportInterval is the time between two looks at what was dropped.
+	reportInterval = 10 * time.Second
+)
+
+// Writer is a log's output.
+type Writer struct {
+	io.WriteCloser
+	lost atomic.Int64
+}
+
+// NewWriter returns a writer to out that drops lines rather than wait.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{}
+	w.WriteCloser = diode.NewWriter(out, waitingLines, poll, func(missed int) { w.lost.Add(int64(missed)) })
+	return w
+}
+
+// Lost is the number of lines dropped so far because the reader was slow.
+func (w *Writer) Lost() int64 { return w.lost.Load() }
+
+// Report logs how many lines were dropped, whenever some were, until ctx ends.
+func (w *Writer) Report(ctx context.Context, log zerolog.Logger) {
+	told := int64(0)
+	system.Every(ctx, reportInterval, func() {
+		if lost := w.Lost(); lost > told {
+			log.Warn().Int64("lines", lost-told).Msg("log lines dropped")
+			told = lost
+		}
+	})
+}
+
+// New returns a node's logger.
+func New(w io.Writer, id string) zerolog.Logger {
+	return zerolog.New(w).With().Timestamp().Str("node", id).Logger()
+}
+
+// RequestLog is a logger for lines about single requests.
+type RequestLog zerolog.Logger
+
+// Requests returns the logger for lines about single requests: as log, but with a bounded
+// number of lines a period. Those left out are counted.
+func Requests(log zerolog.Logger, m *metric.Set) RequestLog {
+	left := m.Counter("comfreycart_log_lines_left_out_total")
+	burst := &zerolog.BurstSampler{Burst: linesPerPeriod, Period: period}
+	return RequestLog(log.Sample(sampler(func(level zerolog.Level) bool {
+		if burst.Sample(level) {
+			return true
+		}
+		left.Inc()
+		return false
+	})))
+}
+
+// sampler is a function as a zerolog.Sampler.
+type sampler func(zerolog.Level) bool
+
+// Sample implements zerolog.Sampler.
+func (s sampler) Sample(level zerolog.Level) bool { return s(level) }
--- a/internal/node/provide_mesh.go
+++ b/internal/node/provide_mesh.go
@@ -31,9 +31,9 @@
 	// bodyPart is the part of the process's memory that callers' bodies may take.
 	bodyPart = 4
 	// A retry runs a request's sub-calls again, which count as retries at their
-	// services; with chains of four hops these parts of the bound keep every service
-	// within it.
-	retryRatioPart   = 0.35
+	// services. Only the hop next to a failure retries, so these parts leave room for the
+	// repeats of two hops above.
+	retryRatioPart   = 0.6
 	retryReservePart = 0.5
 )
 
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -13,6 +13,7 @@
 	"comfreycart.dev/comfreycart/internal/decide/budget"
 	"comfreycart.dev/comfreycart/internal/entry"
 	"comfreycart.dev/comfreycart/internal/ingress"
+	"comfreycart.dev/comfreycart/internal/logging"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
 	"comfreycart.dev/comfreycart/internal/system/claims"
@@ -37,6 +38,7 @@
 		provideBackend, provideAdmin, provideStatus,
 		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
 		wire.Struct(new(settingsync.Current)),
+		logging.Requests,
 		metric.NewSet, provideDialect, budget.Default,
 		table.NewCalls, provideLocals, table.NewMembers, table.NewEndpoints,
 		homes.New, fence.New, serve.New, dispatch.New, membership.New, membership.NewTransport, shares.New, claims.New, claims.NewRunner,
@@ -76,6 +78,7 @@
 		provideMeshDialect, provideCallerDialect, provideRetries, provideAnnounce, provideReady, provideFront, provideLeases, provideFinder,
 		wire.Struct(new(clock.Boot)), wire.Bind(new(clock.Clock), new(clock.Boot)),
 		wire.Struct(new(settingsync.Current)),
+		logging.Requests,
 		metric.NewSet,
 		table.NewCalls, provideLocals, table.NewMembers, table.NewEndpoints,
 		fence.New, serve.New, dispatch.New, membership.New, membership.NewTransport, shares.New,
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -14,6 +14,7 @@
 	"comfreycart.dev/comfreycart/internal/decide/budget"
 	"comfreycart.dev/comfreycart/internal/entry"
 	"comfreycart.dev/comfreycart/internal/ingress"
+	"comfreycart.dev/comfreycart/internal/logging"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
 	"comfreycart.dev/comfreycart/internal/system/claims"
@@ -56,9 +57,10 @@
 	locals := provideLocals(c)
 	fenceTable := fence.New(boot)
 	dialect := provideDialect()
-	server := serve.New(boot, calls, locals, fenceTable, dialect, set)
+	requestLog := logging.Requests(logger, set)
+	server := serve.New(boot, calls, locals, fenceTable, dialect, set, requestLog)
 	limits := budget.Default()
-	dispatcher := dispatch.New(self, boot, endpoints, client, server, limits, set)
+	dispatcher := dispatch.New(self, boot, endpoints, client, server, limits, set, requestLog)
 	runner := claims.NewRunner(claimsManager, dispatcher)
 	gate := entry.New(boot, current, follower, sharesManager, runner)
 	handler := caller.New(gate, set, logger)
@@ -120,11 +122,12 @@
 	locals := provideLocals(c)
 	fenceTable := fence.New(boot)
 	dialect := provideMeshDialect()
-	server := serve.New(boot, calls, locals, fenceTable, dialect, set)
+	requestLog := logging.Requests(logger, set)
+	server := serve.New(boot, calls, locals, fenceTable, dialect, set, requestLog)
 	limits := provideRetries(c, members)
-	dispatcher := dispatch.New(self, boot, endpoints, client, server, limits, set)
+	dispatcher := dispatch.New(self, boot, endpoints, client, server, limits, set, requestLog)
 	ingressDialect := provideCallerDialect(c)
-	handler := ingress.New(boot, current, follower, sharesManager, dispatcher, ingressDialect, calls, set, logger)
+	handler := ingress.New(boot, current, follower, sharesManager, dispatcher, ingressDialect, calls, set, requestLog)
 	frontServer := provideFront(c, current, handler, set, logger)
 	announceHandler := provideAnnounce(c, boot, locals, server, set, logger)
 	readyHandler := provideReady(c, current, follower, logger)
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -7,9 +7,12 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/decide/budget"
+	"comfreycart.dev/comfreycart/internal/logging"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/table"
 )
@@ -42,14 +45,15 @@
 	peers     Peers
 	local     Local
 	metric    *metric.Set
+	log       zerolog.Logger
 	sheds     sheds
 	budgets   budgets
 }
 
 // New returns a dispatcher for the endpoints.
-func New(self Self, c clock.Clock, e *table.Endpoints, p Peers, l Local, retries budget.Limits, m *metric.Set) *Dispatcher {
+func New(self Self, c clock.Clock, e *table.Endpoints, p Peers, l Local, retries budget.Limits, m *metric.Set, log logging.RequestLog) *Dispatcher {
 	return &Dispatcher{
-		self: self, clock: c, endpoints: e, peers: p, local: l, metric: m,
+		self: self, clock: c, endpoints: e, peers: p, local: l, metric: m, log: zerolog.Logger(log),
 		sheds: sheds{clock: c, metric: m}, budgets: budgets{metric: m, limits: retries},
 	}
 }
@@ -86,22 +90,37 @@
 		left = last.Unused
 		d.sheds.learn(c, last.Feedback)
 		reason, again := again(ctx, c, &last)
-		if again && moves < maxMoves && moved(&last) {
+		switch {
+		case again && moves < maxMoves && moved(&last):
 			moves++
-			d.metric.Retried(reason)
-			continue
-		}
-		if again && refusals < maxRefusals && refusedThere(&last) && d.budgets.takeFor(c, reason) {
+		case again && refusals < maxRefusals && refusedThere(&last) && d.budgets.takeFor(c, reason):
 			refusals++
-			d.metric.Retried(reason)
-			continue
-		}
-		if !again || left == 0 || !d.budgets.takeFor(c, reason) {
+		case again && left > 0 && d.budgets.takeFor(c, reason):
+			left--
+		default:
+			d.note(c, e, &last, again, left)
 			return last
 		}
-		left--
 		d.metric.Retried(reason)
+		d.note(c, e, &last, true, left)
+	}
+}
+
+// note logs an attempt that brought no good answer, and whether the call is sent again.
+// A call that is not, although it may be, has no allowance or no budget left.
+func (d *Dispatcher) note(c *call.Call, e *table.Endpoint, r *call.Result, again bool, left int) {
+	if !r.Failed() {
+		return
+	}
+	ev := d.log.Info().Str("request", c.Tag).Str("call", c.ID.String()).Str("service", c.Service).Str("endpoint", e.Node).
+		Bool("may_repeat", again).Int("allowance", left).Float64("budget", d.budgets.of(c.Service).Left()).
+		Bool("overloaded", r.Overloaded).Bool("failed_below", r.FailedBelow)
+	if r.Failure != nil {
+		ev = ev.Str("reason", string(r.Failure.Reason)).Str("outcome", string(r.Failure.Outcome)).Str("detail", r.Failure.Detail)
+	} else {
+		ev = ev.Int("status", r.Answer.Status)
 	}
+	ev.Msg("attempt failed")
 }
 
 func (d *Dispatcher) exhausted(last call.Result, c *call.Call, left int) call.Result {
--- a/internal/system/dispatch/pick.go
+++ b/internal/system/dispatch/pick.go
@@ -19,6 +19,7 @@
 	if r.Feedback != nil {
 		e.Load().Learn(now, r.Feedback)
 	}
+	e.Load().Judge(now, failedAlone(r))
 	if r.Failure == nil {
 		e.Load().Succeed()
 		return
@@ -28,6 +29,15 @@
 	}
 }
 
+// failedAlone reports whether an endpoint failed a call for a reason of its own: neither
+// for want of room nor because of what lies below.
+func failedAlone(r *call.Result) bool {
+	if r.Failure == nil {
+		return r.Failed() && !r.FailedBelow
+	}
+	return blamed(r.Failure.Reason) || r.Failure.Reason == call.AnswerTruncated || refusedThere(r)
+}
+
 // blamed reports whether a failure counts against the endpoint.
 func blamed(r call.Reason) bool {
 	switch r {
--- a/internal/system/dispatch/property_test.go
+++ b/internal/system/dispatch/property_test.go
@@ -5,12 +5,14 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/decide/budget"
+	"comfreycart.dev/comfreycart/internal/logging"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/table"
@@ -121,7 +123,7 @@
 			Service: "s", Idempotent: n.coin("idempotent"), Deadline: clk.Now().Add(time.Hour),
 			Allowance: rapid.IntRange(0, 3).Draw(t, "allowance"),
 		}
-		r := New(Self{ID: "a"}, clk, endpoints, n, nil, budget.Default(), metric.NewSet()).Do(context.Background(), c)
+		r := New(Self{ID: "a"}, clk, endpoints, n, nil, budget.Default(), metric.NewSet(), logging.RequestLog(zerolog.Nop())).Do(context.Background(), c)
 		n.flush()
 		require.LessOrEqual(t, n.starts, 1+c.Allowance, "runs above the allowance")
 		require.LessOrEqual(t, n.sends, 1+c.Allowance+maxMoves, "sends above all bounds")
--- a/internal/system/dispatch/retry_test.go
+++ b/internal/system/dispatch/retry_test.go
@@ -5,11 +5,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/decide/budget"
+	"comfreycart.dev/comfreycart/internal/logging"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/table"
 )
@@ -38,7 +40,7 @@
 			Endpoints: []table.MemberEndpoint{{Service: "s", Slots: 1, State: table.Ready}},
 		})
 	}
-	d := New(Self{ID: "a"}, clk, endpoints, p, nil, budget.Default(), metric.NewSet())
+	d := New(Self{ID: "a"}, clk, endpoints, p, nil, budget.Default(), metric.NewSet(), logging.RequestLog(zerolog.Nop()))
 	return d.Do(t.Context(), &call.Call{
 		Service: "s", Idempotent: idempotent, Allowance: 2, Deadline: clk.Now().Add(time.Minute),
 	})
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -10,10 +10,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"comfreycart.dev/comfreycart/internal/api"
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/decide/limit"
+	"comfreycart.dev/comfreycart/internal/logging"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/system/fence"
 	"comfreycart.dev/comfreycart/internal/system/gate"
@@ -28,6 +31,7 @@
 	fences  *fence.Table
 	metric  *metric.Set
 	dialect Dialect
+	log     zerolog.Logger
 
 	mu       sync.Mutex
 	stations map[string]*station
@@ -45,9 +49,9 @@
 }
 
 // New returns a server of the backend servers in locals.
-func New(c clock.Clock, calls *table.Calls, locals *table.Locals, fences *fence.Table, d Dialect, m *metric.Set) *Server {
+func New(c clock.Clock, calls *table.Calls, locals *table.Locals, fences *fence.Table, d Dialect, m *metric.Set, log logging.RequestLog) *Server {
 	return &Server{
-		clock: c, calls: calls, locals: locals, fences: fences, dialect: d, metric: m,
+		clock: c, calls: calls, locals: locals, fences: fences, dialect: d, metric: m, log: zerolog.Logger(log),
 		stations: map[string]*station{},
 	}
 }
@@ -120,6 +124,10 @@
 	s.metric.Counter("comfreycart_sheds_total", "service", c.Service, "priority", c.Priority.String(), "reason", string(f.Reason)).Inc()
 	r := call.Fail(f, c.Allowance)
 	r.Feedback = st.gate.Feedback()
+	s.log.Info().Str("request", c.Tag).Str("call", c.ID.String()).Str("service", c.Service).Str("account", c.Account).
+		Str("priority", c.Priority.String()).Uint32("running", r.Feedback.InFlight).Uint32("limit", r.Feedback.Limit).
+		Uint32("queued", r.Feedback.Queued).Dur("left_ms", c.Deadline.Sub(s.clock.Now())).
+		Str("reason", string(f.Reason)).Str("outcome", string(f.Outcome)).Msg("call refused")
 	return r
 }
 
@@ -173,6 +181,11 @@
 	if f == nil {
 		s.judge(&r, c, st, below.Called, resp, body)
 	}
+	if r.Failure != nil {
+		s.log.Info().Str("request", c.Tag).Str("call", c.ID.String()).Str("service", c.Service).Str("instance", local.Instance).
+			Dur("ms", s.clock.Now().Sub(begin)).Str("reason", string(r.Failure.Reason)).
+			Str("outcome", string(r.Failure.Outcome)).Str("detail", r.Failure.Detail).Msg("backend server failed a call")
+	}
 	r.FailedBelow = r.FailedBelow || r.Failed() && s.calls.UntiedFailed(begin)
 	r.Feedback = running.Tightest(st.gate.Feedback())
 	return r
