Freshness is asked for before the settings that it is to hold for are read

Cause: read in review. A request took the settings in force, then asked whether they were fresh; a newer version that came in between made the older one pass for fresh, so that a key could run after its end at a node that had just been paused, and again after the wait for a token. Ruled out: the bound itself. Change: the order, and the key is looked up again after the wait.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -152,7 +152,10 @@
 }
 
 // admit checks a request against the settings in force. A refused request does not run.
+// Freshness is asked for before the settings are read, so that it holds for them: a newer
+// version may come in between.
 func (h *Handler) admit(ctx context.Context, x *request, r *front.Request) *call.Failure {
+	stale := h.freshness.Fresh()
 	x.view = h.views.View()
 	if x.view == nil {
 		return call.Refuse(call.SettingsMissing, "the node has no settings yet").After(settingsRetryAfter)
@@ -166,8 +169,8 @@
 	if x.route.Open {
 		return nil
 	}
-	if f := h.freshness.Fresh(); f != nil {
-		return f
+	if stale != nil {
+		return stale
 	}
 	if x.account, ok = x.view.Account(x.head.Key); !ok {
 		return call.Refuse(call.KeyUnknown, "the key is unknown or was withdrawn")
@@ -178,7 +181,19 @@
 	if f := h.shares.Take(ctx, x.view, x.account); f != nil {
 		return f
 	}
-	return h.freshness.Fresh()
+	return h.confirm(x)
+}
+
+// confirm checks the key again after a wait for tokens, which may have been longer than a
+// withdrawal.
+func (h *Handler) confirm(x *request) *call.Failure {
+	if f := h.freshness.Fresh(); f != nil {
+		return f
+	}
+	if account, ok := h.views.View().Account(x.head.Key); !ok || account != x.account {
+		return call.Refuse(call.KeyUnknown, "the key was withdrawn meanwhile")
+	}
+	return nil
 }
 
 // call returns the call for an admitted request. A request without a key, on a route
