--- a/internal/api/front/conn.go
+++ b/internal/api/front/conn.go
@@ -138,7 +138,7 @@
 	defer close(next)
 	defer func() { <-c.slots }()
 	<-turn
-	last = c.isLast(last || reply.Close)
+	last = c.isLast(last)
 	err := c.write(reply, last)
 	c.mu.Lock()
 	c.pending--
--- a/internal/api/front/server.go
+++ b/internal/api/front/server.go
@@ -54,8 +54,6 @@
 	// Header has nothing that concerns the body's transfer.
 	Header http.Header
 	Body   []byte
-	// Close ends the connection after the reply.
-	Close bool
 }
 
 // Handler answers requests. It is called concurrently.
