Tests of meshes listen on a loopback network of their own

Cause: TestMeshPlannedStopCutsNothing was red once before any request was sent: addresses were found by listening at 127.0.0.1:0 and closing again, so that any outgoing connection of the same process could take the port before the node or the instance listened there. Ruled out: the planned stop itself; nothing had been sent. Change: the loopback networks of the scenarios moved to test/loopback; meshes of internal/node use them as well. Outgoing connections begin at 127.0.0.1 and so never take an address of 127.a.b.0/24.

--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -19,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/test/loopback"
 	"comfreycart.dev/comfreycart/test/standin/instance"
 	standin "comfreycart.dev/comfreycart/test/standin/platform"
 )
@@ -26,6 +26,7 @@
 // meshFleet is a mesh of nodes in one process, each with one backend server.
 type meshFleet struct {
 	t     *testing.T
+	net   *loopback.Network
 	store *standin.Server
 	url   string
 	nodes []*meshNode
@@ -38,17 +39,22 @@
 	done                chan error
 }
 
-// freeAddress returns an address that nothing listens at.
-func freeAddress(t *testing.T) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer lis.Close()
-	return lis.Addr().String()
-}
+// Ports of each node of a mesh.
+const (
+	portCaller = 7001 + iota
+	portReady
+	portControl
+	portBackend
+	portPeer
+	portMetrics
+)
 
 // startMesh starts a node for each service named.
 func startMesh(t *testing.T, services ...string) *meshFleet {
-	f := &meshFleet{t: t, store: standin.New()}
+	network, err := loopback.Claim()
+	require.NoError(t, err)
+	t.Cleanup(network.Release)
+	f := &meshFleet{t: t, net: network, store: standin.New()}
 	server := httptest.NewServer(f.store.Handler())
 	t.Cleanup(server.Close)
 	f.url = server.URL
@@ -60,11 +66,12 @@
 
 func (f *meshFleet) add(id, service string) *meshNode {
 	t := f.t
-	n := &meshNode{id: id, outbound: freeAddress(t), ready: freeAddress(t), done: make(chan error, 1)}
-	control, backend := freeAddress(t), freeAddress(t)
+	at := func(port int) string { return f.net.Address(len(f.nodes)+1, port) }
+	n := &meshNode{id: id, outbound: at(portCaller), ready: at(portReady), done: make(chan error, 1)}
+	control, backend := at(portControl), at(portBackend)
 	cfg := &config.Node{
 		ID: id, Deployment: "d", Domain: "z",
-		Listen:   config.Listen{Caller: n.outbound, Backend: control, Peer: freeAddress(t), Metrics: freeAddress(t)},
+		Listen:   config.Listen{Caller: n.outbound, Backend: control, Peer: at(portPeer), Metrics: at(portMetrics)},
 		Platform: config.Platform{URL: f.url},
 		Mesh: &config.Mesh{
 			Service: service, Backend: backend, Ready: n.ready, Domains: []string{"z"}, HeartbeatMs: 200,
--- a/test/script/fleet_test.go
+++ b/test/script/fleet_test.go
@@ -18,6 +18,7 @@
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/operator"
 	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/test/loopback"
 	"comfreycart.dev/comfreycart/test/pki"
 )
 
@@ -50,9 +51,8 @@
 
 // fleet is what one scenario runs: its own addresses, processes and links.
 type fleet struct {
-	dir    string
-	prefix string
-	lock   net.Listener
+	dir string
+	net *loopback.Network
 	// direct leaves the links out, for measurements.
 	direct bool
 	// pki, if set, signs a certificate for each node's listeners.
@@ -73,24 +73,15 @@
 		dir: dir, processes: map[string]*process{}, nodes: map[string]*config.Node{},
 		backends: map[string]string{}, traffic: map[string]*traffic{},
 	}
-	f.prefix, f.lock = claimPrefix()
+	network, err := loopback.Claim()
+	if err != nil {
+		panic(err)
+	}
+	f.net = network
 	f.links = newLinks()
 	return f
 }
 
-// claimPrefix finds a loopback network 127.a.b.0/24 that no other scenario uses.
-func claimPrefix() (string, net.Listener) {
-	for a := 16; a < 250; a++ {
-		for b := range 250 {
-			prefix := fmt.Sprintf("127.%d.%d.", a, b)
-			if lis, err := net.Listen("tcp", prefix+"254:7999"); err == nil {
-				return prefix, lis
-			}
-		}
-	}
-	panic("no free loopback network")
-}
-
 func (f *fleet) close() {
 	f.mu.Lock()
 	all := make([]*process, 0, len(f.processes))
@@ -108,7 +99,7 @@
 		<-p.done
 	}
 	f.links.close()
-	_ = f.lock.Close()
+	f.net.Release()
 }
 
 // spawn starts a program whose output goes to NAME.log in the scenario's folder.
@@ -144,12 +135,12 @@
 }
 
 // addr returns an address of node i's VM.
-func (f *fleet) addr(i, port int) string { return fmt.Sprintf("%s%d:%d", f.prefix, 10+2*i, port) }
+func (f *fleet) addr(i, port int) string { return f.net.Address(10+2*i, port) }
 
 // relay returns an address of the links in front of node i.
-func (f *fleet) relay(i, port int) string { return fmt.Sprintf("%s%d:%d", f.prefix, 11+2*i, port) }
+func (f *fleet) relay(i, port int) string { return f.net.Address(11+2*i, port) }
 
-func (f *fleet) platformAddr() string { return fmt.Sprintf("%s2:%d", f.prefix, portPlatform) }
+func (f *fleet) platformAddr() string { return f.net.Address(2, portPlatform) }
 
 func nodeName(i int) string { return fmt.Sprintf("node%d", i+1) }
 
@@ -170,7 +161,7 @@
 // addNode writes the file of node i, opens its links and starts it.
 func (f *fleet) addNode(i int) error {
 	name := nodeName(i)
-	ip := fmt.Sprintf("%s%d", f.prefix, 10+2*i)
+	ip := f.net.IP(10 + 2*i)
 	f.links.name(ip, name)
 	if err := f.links.open(f.relay(i, portPeer), f.addr(i, portPeer), "", name); err != nil {
 		return err
--- a/test/script/once_test.go
+++ b/test/script/once_test.go
@@ -91,7 +91,7 @@
 	s.traffic = &traffic{stop: make(chan struct{})}
 	s.traffic.wg.Add(1)
 	go s.run(q, urls, time.Duration(float64(time.Second)/rate))
-	storms.Store(f.prefix+args[0], s)
+	storms.Store(f.net.IP(0)+args[0], s)
 	return "", nil
 }
 
@@ -129,7 +129,7 @@
 }
 
 func againCmd(f *fleet, _ *testscript.TestScript, args []string) (string, error) {
-	x, ok := storms.Load(f.prefix + args[0])
+	x, ok := storms.Load(f.net.IP(0) + args[0])
 	if !ok {
 		return "", fmt.Errorf("no storm %s", args[0])
 	}
@@ -151,7 +151,7 @@
 }
 
 func endStormCmd(f *fleet, _ *testscript.TestScript, args []string) (string, error) {
-	x, ok := storms.Load(f.prefix + args[0])
+	x, ok := storms.Load(f.net.IP(0) + args[0])
 	if !ok {
 		return "", fmt.Errorf("no storm %s", args[0])
 	}
@@ -268,7 +268,7 @@
 		}
 		total += len(entries)
 	}
-	before, _ := counted.Swap(f.prefix, total)
+	before, _ := counted.Swap(f.net.IP(0), total)
 	if before != nil {
 		total -= before.(int)
 	}
