A sub-call takes the place of the request that it belongs to

Nothing tied a sub-call to its request, so all had one priority, were counted as new work by nobody, and the entry never learned of the overload below. Ruled out: repeats (2 arrivals again at dispatch), lost answers, quotas. Where it names one that runs on the VM, the sub-call takes over its priority, depth and time spent, ends with it, and tells it what it came to; the admission level below goes up with the answers, as on the product's own egress. A service's level is the mean over the sub-calls to it: the tightest of ten was tried before and shut whole routes.

--- a/internal/api/egress/egress.go
+++ b/internal/api/egress/egress.go
@@ -91,19 +91,18 @@
 	if f != nil {
 		return nil, f
 	}
-	return &call.Call{
+	c := &call.Call{
 		ID:          call.NewID(),
 		Account:     parent.Call.Account,
 		Service:     route.Service,
 		Route:       route.Name,
-		Priority:    parent.Call.Priority,
 		Idempotent:  route.Idempotent,
 		Allowance:   allowance,
-		Depth:       parent.Call.Depth + 1,
-		Spent:       parent.Call.Spent + h.clock.Now().Sub(parent.Begun),
 		AnswerLimit: route.AnswerLimitBytes,
 		Request:     r,
-	}, nil
+	}
+	parent.Tie(c, h.clock.Now())
+	return c, nil
 }
 
 // run sends the sub-call; it ends with its parent at the latest.
@@ -113,14 +112,6 @@
 	defer context.AfterFunc(parent.Ctx, cancel)()
 	result := h.dispatcher.Do(ctx, c)
 	parent.ReturnAllowance(result.Unused)
-	if result.Overloaded {
-		parent.MarkOverloaded()
-	}
-	if result.Failed() {
-		parent.MarkFailed()
-	}
-	if result.Feedback != nil {
-		parent.Learn(result.Feedback)
-	}
+	parent.Conclude(c.Service, &result)
 	return result
 }
--- a/internal/api/egress/egress_test.go
+++ b/internal/api/egress/egress_test.go
@@ -43,7 +43,7 @@
 	parentCtx, end := context.WithCancel(t.Context())
 	defer end()
 	parent := &call.Call{Account: "a", Priority: call.Critical, Deadline: clk.Now().Add(time.Minute), Allowance: 4}
-	handle, running := calls.Open(parentCtx, parent)
+	handle, running := calls.Open(parentCtx, parent, clk.Now())
 
 	w := httptest.NewRecorder()
 	done := make(chan struct{})
@@ -73,7 +73,7 @@
 // A call that ended a moment ago takes no more sub-calls.
 func TestAnEndedCallTakesNoSubCall(t *testing.T) {
 	running := func() *table.Running {
-		_, r := table.NewCalls().Open(t.Context(), &call.Call{Allowance: 1})
+		_, r := table.NewCalls().Open(t.Context(), &call.Call{Allowance: 1}, 0)
 		return r
 	}()
 	running.End()
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/hex"
+	"math"
 	"net/http"
 	"time"
 
@@ -92,8 +93,8 @@
 	AnswerLimit int64
 	// Tag is the caller's own name for the request, for logs; it may be empty.
 	Tag string
-	// KeepsAllowance is set where sub-calls have allowances of their own, since nothing
-	// ties them to the call: none of this one's is passed on with an attempt.
+	// KeepsAllowance is set where sub-calls have allowances of their own: none of this
+	// one's is passed on with an attempt.
 	KeepsAllowance bool
 	Request        *Request
 }
@@ -131,12 +132,14 @@
 	Queued uint32
 }
 
-// Tighter returns f with the threshold of o where o admits less.
-func (f Feedback) Tighter(o Feedback) Feedback {
-	if o.Threshold > f.Threshold || o.Threshold == f.Threshold && o.ShareMilli < f.ShareMilli {
-		f.Threshold, f.ShareMilli = o.Threshold, o.ShareMilli
-	}
-	return f
+// Level is the threshold plus the part of the calls at it that is not admitted: 0 where
+// all are.
+func (f Feedback) Level() float64 { return float64(f.Threshold) + 1 - float64(f.ShareMilli)/1000 }
+
+// SetLevel sets the threshold and the share of a level.
+func (f *Feedback) SetLevel(level float64) {
+	f.Threshold = min(Priority(level), Critical)
+	f.ShareMilli = uint32(math.Round(1000 * max(0, float64(f.Threshold)+1-level)))
 }
 
 // Fail returns the result of a call that came to a failure, with its allowance unspent.
--- a/internal/decide/shed/shed.go
+++ b/internal/decide/shed/shed.go
@@ -49,7 +49,7 @@
 // Learn takes in the feedback of one answer. After a silence it replaces what was
 // known before.
 func (r *Route) Learn(now clock.Time, f call.Feedback) {
-	seen := float64(f.Threshold) + 1 - float64(f.ShareMilli)/1000
+	seen := f.Level()
 	if r.stale(now) {
 		r.level = seen
 	}
--- a/internal/experiment/job.go
+++ b/internal/experiment/job.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/decide/admission"
 	"comfreycart.dev/comfreycart/internal/decide/limit"
 	"comfreycart.dev/comfreycart/internal/decide/queue"
+	"comfreycart.dev/comfreycart/internal/decide/shed"
 )
 
 // root is one attempt of a caller's request.
@@ -33,7 +33,7 @@
 	reply     func(result)
 
 	begun     clock.Time
-	feedback  call.Feedback
+	levels    shed.Levels
 	spent     time.Duration
 	overlower bool
 	ended     bool
@@ -44,7 +44,7 @@
 // arrive offers the job to its endpoint.
 func (j *job) arrive() {
 	now := j.w.now
-	j.item.Owner, j.arrived, j.feedback = j, now, open
+	j.item.Owner, j.arrived = j, now
 	if j.w.policy.deadlines && now >= j.root.deadline {
 		j.end(result{notRun: true})
 		return
@@ -96,7 +96,7 @@
 	j.ended = true
 	delete(j.e.jobs, j)
 	r.unused, r.spent = j.allowance, j.spent
-	r.feedback = j.e.place.Feedback(j.w.now).Tighter(j.feedback)
+	r.feedback = j.levels.Tightest(j.e.place.Feedback(j.w.now))
 	r.overloaded = r.overloaded || j.overlower
 	j.reply(r)
 }
@@ -148,7 +148,7 @@
 		return
 	}
 	j.allowance += r.unused
-	j.feedback = j.feedback.Tighter(r.feedback)
+	j.levels.Learn(j.what.subs[i].service, r.feedback)
 	j.overlower = j.overlower || r.overloaded
 	if !r.ok {
 		j.finish(result{}, limit.Lost)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -30,6 +30,9 @@
 type Head struct {
 	// Attempt is the caller's name for this attempt.
 	Attempt string
+	// Parent is the attempt that the request is a sub-call of, as far as its name tells;
+	// empty if it does not.
+	Parent string
 	// TimeLeft is how long the caller still waits, where HasTimeLeft is set.
 	TimeLeft    time.Duration
 	HasTimeLeft bool
@@ -144,10 +147,35 @@
 	if !h.clock.Now().Before(c.Deadline) {
 		return call.Result{Failure: call.Refuse(call.DeadlinePassed, "the deadline passed before the request was sent on")}
 	}
-	result := h.dispatcher.Do(ctx, c)
-	if c.Depth > 0 && result.Failed() {
-		h.calls.NoteUntied(h.clock.Now())
+	if !x.isSubCall() {
+		return h.dispatcher.Do(ctx, c)
 	}
+	return h.runBelow(ctx, x, c)
+}
+
+// isSubCall reports whether a request is taken for a sub-call of one that is under way:
+// it came without a key, on a route that needs none.
+func (x *request) isSubCall() bool { return x.route.Open && !x.head.HasKey }
+
+// runBelow runs a sub-call. If it is known which running call it belongs to, it takes that
+// one's place in queues and ends with it.
+func (h *Handler) runBelow(ctx context.Context, x *request, c *call.Call) call.Result {
+	parent := h.calls.Tagged(x.head.Parent)
+	if parent == nil {
+		c.Depth = 1
+		result := h.dispatcher.Do(ctx, c)
+		if result.Failed() {
+			h.calls.NoteUntied(h.clock.Now())
+		}
+		return result
+	}
+	parent.MarkSubCall()
+	parent.Tie(c, h.clock.Now())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(parent.Ctx, cancel)()
+	result := h.dispatcher.Do(ctx, c)
+	parent.Conclude(c.Service, &result)
 	return result
 }
 
@@ -196,13 +224,8 @@
 	return nil
 }
 
-// call returns the call for an admitted request. A request without a key, on a route
-// that needs none, is taken for a sub-call of a request that is under way.
+// call returns the call for an admitted request.
 func (h *Handler) call(x *request, r *front.Request) *call.Call {
-	depth := 0
-	if x.route.Open && !x.head.HasKey {
-		depth = 1
-	}
 	return &call.Call{
 		ID:             call.NewID(),
 		Account:        x.account,
@@ -212,7 +235,6 @@
 		Idempotent:     x.route.Idempotent,
 		Allowance:      x.route.Retries,
 		KeepsAllowance: true,
-		Depth:          depth,
 		AnswerLimit:    x.route.AnswerLimitBytes,
 		Tag:            x.head.Attempt,
 		Request:        &call.Request{Method: r.Method, Path: r.Target, Header: r.Header, Body: r.Body},
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -24,6 +24,7 @@
 	// onFresh and onTake run while the handler asks for freshness or for a token.
 	onFresh, onTake func()
 	stale           *call.Failure
+	onDo            func(context.Context) call.Result
 	ran             []*call.Call
 }
 
@@ -44,8 +45,11 @@
 	return nil
 }
 
-func (w *world) Do(_ context.Context, c *call.Call) call.Result {
+func (w *world) Do(ctx context.Context, c *call.Call) call.Result {
 	w.ran = append(w.ran, c)
+	if w.onDo != nil {
+		return w.onDo(ctx)
+	}
 	return call.Result{Answer: &call.Answer{Status: http.StatusOK, Header: http.Header{}}}
 }
 
@@ -53,7 +57,7 @@
 type plain struct{}
 
 func (plain) Read(_ string, h http.Header) (Head, *call.Failure) {
-	return Head{Attempt: "a", Key: h.Get("Key"), HasKey: h.Get("Key") != ""}, nil
+	return Head{Attempt: "a", Parent: h.Get("Parent"), Key: h.Get("Key"), HasKey: h.Get("Key") != ""}, nil
 }
 
 func (plain) Answer(h http.Header) http.Header { return h }
@@ -115,3 +119,36 @@
 	w.view = nil
 	require.Equal(t, "settings-missing", string(ask(w, "/open/x", "").Body))
 }
+
+// A sub-call whose name tells which running call it belongs to takes over that one's
+// priority, and ends with it; what it came to is told above.
+func TestASubCallIsTiedToTheCallThatItNames(t *testing.T) {
+	ctx, end := context.WithCancel(t.Context())
+	calls := table.NewCalls()
+	parent := &call.Call{Tag: "p", Priority: call.Critical, Depth: 2, Spent: time.Second}
+	_, running := calls.Open(ctx, parent, clock.Boot{}.Now())
+	w := &world{view: view(1, "k1")}
+	w.onDo = func(ctx context.Context) call.Result {
+		end()
+		<-ctx.Done()
+		f := call.Feedback{Threshold: call.High, ShareMilli: 500}
+		return call.Result{Failure: call.Refuse(call.QueueFull, "full"), Overloaded: true, Feedback: &f}
+	}
+	m := metric.NewSet()
+	h := New(clock.Boot{}, w, w, w, w, plain{}, calls, m, logging.Requests(zerolog.Nop(), m))
+	send := func(parent string) *call.Call {
+		h.Serve(t.Context(), &front.Request{Method: http.MethodGet, Target: "/open/x", Host: "h", Header: http.Header{"Parent": {parent}}})
+		return w.ran[len(w.ran)-1]
+	}
+	c := send("p")
+	require.Equal(t, call.Critical, c.Priority)
+	require.Equal(t, 3, c.Depth)
+	require.GreaterOrEqual(t, c.Spent, time.Second)
+	require.Empty(t, c.Account, "the backend server of a sub-call is told no account")
+	require.Equal(t, table.Below{Called: true, Overloaded: true, Failed: true}, running.Below())
+	require.InDelta(t, 2.5, running.Tightest(&call.Feedback{ShareMilli: 1000}).Level(), 0.001)
+	require.False(t, calls.UntiedFailed(0), "its failure is that of one call only")
+
+	w.onDo = nil
+	require.Equal(t, 1, send("gone").Depth, "a name that no running call has ties nothing")
+}
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -169,10 +169,9 @@
 
 // run sends a started call to its backend server.
 func (s *Server) run(ctx context.Context, st *station, local table.Local, c *call.Call) call.Result {
-	handle, running := s.calls.Open(ctx, c)
-	defer s.calls.Close(handle)
 	begin := s.clock.Now()
-	running.Begun = begin
+	handle, running := s.calls.Open(ctx, c, begin)
+	defer s.calls.Close(handle)
 	x := &exchange{dialect: s.dialect, pool: st.pool, clock: s.clock, call: c, local: local, handle: handle}
 	resp, body, f := x.run(ctx)
 	metric.Observe(s.metric.Histogram("comfreycart_backend_seconds", "service", local.Service), s.clock.Now().Sub(begin))
--- a/internal/table/calls.go
+++ b/internal/table/calls.go
@@ -10,6 +10,7 @@
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/decide/shed"
 )
 
 const (
@@ -22,15 +23,14 @@
 	Call *call.Call
 	// Ctx ends with the call; its sub-calls end with it.
 	Ctx context.Context
-	// Begun is when the call began to run; it is set before any sub-call.
+	// Begun is when the call began to run.
 	Begun clock.Time
 
-	mu    sync.Mutex
-	left  int
-	ended bool
-	below Below
-	// tightest is the threshold of the sub-call that admits least.
-	tightest *call.Feedback
+	mu     sync.Mutex
+	left   int
+	ended  bool
+	below  Below
+	levels shed.Levels
 }
 
 // Below is what became of a call's sub-calls.
@@ -70,20 +70,6 @@
 	r.below.Called = true
 }
 
-// MarkOverloaded records that a sub-call was refused for overload.
-func (r *Running) MarkOverloaded() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.below.Overloaded = true
-}
-
-// MarkFailed records that a sub-call failed.
-func (r *Running) MarkFailed() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.below.Failed = true
-}
-
 // Below returns what became of the sub-calls so far.
 func (r *Running) Below() Below {
 	r.mu.Lock()
@@ -91,26 +77,31 @@
 	return r.below
 }
 
-// Learn takes in the feedback of a sub-call.
-func (r *Running) Learn(f *call.Feedback) {
+// Tie makes c a sub-call of r: its priority is that of the request that r is part of.
+func (r *Running) Tie(c *call.Call, now clock.Time) {
+	c.Priority = r.Call.Priority
+	c.Depth = r.Call.Depth + 1
+	c.Spent = r.Call.Spent + now.Sub(r.Begun)
+}
+
+// Conclude takes in what a sub-call to a service came to.
+func (r *Running) Conclude(service string, x *call.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.tightest == nil {
-		r.tightest = &call.Feedback{ShareMilli: f.ShareMilli, Threshold: f.Threshold}
-		return
+	r.below.Overloaded = r.below.Overloaded || x.Overloaded
+	r.below.Failed = r.below.Failed || x.Failed()
+	if x.Feedback != nil {
+		r.levels.Learn(service, *x.Feedback)
 	}
-	*r.tightest = r.tightest.Tighter(*f)
 }
 
-// Tightest returns f with the threshold of the sub-call that admits least.
+// Tightest returns f with the admission level of the sub-calls' services where that
+// admits less.
 func (r *Running) Tightest(f *call.Feedback) *call.Feedback {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.tightest == nil {
-		return f
-	}
-	t := f.Tighter(*r.tightest)
-	return &t
+	out := r.levels.Tightest(*f)
+	return &out
 }
 
 // End ends the call and returns the retries left and what became of its sub-calls.
@@ -126,6 +117,7 @@
 // It is safe for concurrent use.
 type Calls struct {
 	shards [callShards]callShard
+	tags   tags
 	// untied is what became of sub-calls that nothing ties to their calls.
 	untied untied
 }
@@ -164,16 +156,17 @@
 	return c
 }
 
-// Open adds a call and returns its handle, which cannot be guessed.
-func (c *Calls) Open(ctx context.Context, cl *call.Call) (string, *Running) {
+// Open adds a call that begins to run and returns its handle, which cannot be guessed.
+func (c *Calls) Open(ctx context.Context, cl *call.Call, begun clock.Time) (string, *Running) {
 	raw := make([]byte, handleBytes)
 	_, _ = rand.Read(raw)
 	handle := base64.RawURLEncoding.EncodeToString(raw)
-	r := &Running{Call: cl, Ctx: ctx, left: cl.Allowance}
+	r := &Running{Call: cl, Ctx: ctx, Begun: begun, left: cl.Allowance}
 	s := c.shard(handle)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rows[handle] = r
+	c.tags.add(r)
 	return handle, r
 }
 
@@ -190,6 +183,9 @@
 	s := c.shard(handle)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r := s.rows[handle]; r != nil {
+		c.tags.drop(r)
+	}
 	delete(s.rows, handle)
 }
 
--- a/internal/table/calls_test.go
+++ b/internal/table/calls_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/clock"
 )
 
@@ -20,3 +21,15 @@
 	require.True(t, c.UntiedFailed(at(time.Second)))
 	require.False(t, c.UntiedFailed(at(time.Second+1)), "it failed before the call began")
 }
+
+func TestCallsAreFoundByTheirTag(t *testing.T) {
+	c := NewCalls()
+	first, _ := c.Open(t.Context(), &call.Call{Tag: "a"}, 0)
+	second, running := c.Open(t.Context(), &call.Call{Tag: "a"}, 1)
+	c.Close(first)
+	require.Same(t, running, c.Tagged("a"), "the later of two calls of one name")
+	c.Close(second)
+	require.Nil(t, c.Tagged("a"))
+	_, _ = c.Open(t.Context(), &call.Call{}, 0)
+	require.Nil(t, c.Tagged(""))
+}
