Routes order the requests of accounts of one rank

Orders and lookups had one priority, so an overload shed them alike. Ruled out: the queue's order; it follows the priority. Change: an account's rank still goes first; among accounts of one rank the route's decides. With more ranks than the four priorities tell apart, the accounts' are kept.

--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -6,8 +6,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"comfreycart.dev/comfreycart/internal/call"
 )
 
 // Document is all settings of a deployment whose operators write them as one document
@@ -152,27 +150,20 @@
 	return "", ""
 }
 
-// levels maps a rank to the priority by which calls are queued and shed.
-var levels = []call.Priority{call.Critical, call.High, call.Normal, call.Low}
-
-func levelOf(rank int) call.Priority {
-	return levels[min(max(rank, 0), len(levels)-1)]
-}
-
 // CompileDocument turns a valid document into a view. The accounts' tokens are shared
 // by the failure domains.
 func CompileDocument(d *Document, domains []string) *View {
 	v := &View{
-		Version:    d.Version,
-		Tree:       &Tree{Homes: Homes{}},
-		Services:   map[string]Service{},
-		Accounts:   map[string]Account{},
-		Limits:     d.Limits.orDefault(),
-		Domains:    domains,
-		keys:       map[[sha256.Size]byte]string{},
-		routes:     map[routeKey]*CompiledRoute{},
-		hosts:      map[string][]*CompiledRoute{},
-		priorities: map[string]call.Priority{},
+		Version:  d.Version,
+		Tree:     &Tree{Homes: Homes{}},
+		Services: map[string]Service{},
+		Accounts: map[string]Account{},
+		Limits:   d.Limits.orDefault(),
+		Domains:  domains,
+		keys:     map[[sha256.Size]byte]string{},
+		routes:   map[routeKey]*CompiledRoute{},
+		hosts:    map[string][]*CompiledRoute{},
+		ranks:    map[string]int{},
 	}
 	for _, s := range d.Services {
 		v.Services[s.Name] = Service{Connections: s.Connections, HealthPath: s.HealthPath}
@@ -180,6 +171,7 @@
 	for _, a := range d.Accounts {
 		v.addAccount(a)
 	}
+	v.ladder = newLadder(d)
 	for _, r := range d.Routes {
 		v.hosts[r.Host] = append(v.hosts[r.Host], compileHostRoute(r))
 	}
@@ -211,7 +203,7 @@
 		v.keys[sha256.Sum256([]byte(k))] = a.Name
 	}
 	if a.Rank != nil {
-		v.priorities[a.Name] = levelOf(*a.Rank)
+		v.ranks[a.Name] = *a.Rank
 	}
 }
 
@@ -221,7 +213,7 @@
 			Name: r.Name, Prefix: r.Prefix, Service: r.Parts[0].Service, Idempotent: r.Idempotent, Open: r.Open,
 			DeadlineMs: r.Timeout.Milliseconds(), Retries: r.MaxEndpoints - 1, AnswerLimitBytes: hostAnswerLimitBytes,
 		},
-		Level:    levelOf(r.Rank),
+		Rank:     r.Rank,
 		Deadline: r.Timeout,
 		Target:   r.Target,
 		Parts:    r.Parts,
@@ -241,11 +233,3 @@
 	}
 	return nil, false
 }
-
-// Priority returns the priority of an account's requests on a route.
-func (v *View) Priority(r *CompiledRoute, account string) call.Priority {
-	if p, ok := v.priorities[account]; ok {
-		return p
-	}
-	return r.Level
-}
--- a/internal/settings/view.go
+++ b/internal/settings/view.go
@@ -27,8 +27,10 @@
 
 	// hosts has the routes of a Document by host, those with the longest prefix first.
 	hosts map[string][]*CompiledRoute
-	// priorities has the accounts of a Document that have one of their own.
-	priorities map[string]call.Priority
+	// ranks has the accounts of a Document that have one of their own.
+	ranks map[string]int
+	// ladder orders the requests of a Document.
+	ladder *ladder
 
 	keys   map[[sha256.Size]byte]string
 	routes map[routeKey]*CompiledRoute
@@ -41,7 +43,9 @@
 // CompiledRoute is a route with its defaults filled in.
 type CompiledRoute struct {
 	Route
-	Level    call.Priority
+	Level call.Priority
+	// Rank orders the routes of a Document; 0 is shed last.
+	Rank     int
 	Deadline time.Duration
 	// Target is the time within which an answer is worth most, 0 if unknown.
 	Target time.Duration
