--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -6,8 +6,6 @@
 
 import (
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // Time is a point on this machine's boot clock.
@@ -26,15 +24,3 @@
 type Clock interface {
 	Now() Time
 }
-
-// Boot is the machine's CLOCK_BOOTTIME.
-type Boot struct{}
-
-// Now returns the time since boot, suspensions included.
-func (Boot) Now() Time {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic("clock: CLOCK_BOOTTIME: " + err.Error())
-	}
-	return Time(ts.Nano())
-}
