A reply between nodes is written together with the end of its stream

Cause: a reply took two or three writes: its first 4 KiB, the rest, and the end of the stream. Change: the stream is flushed at its end, with 8 KiB buffers; so are requests to backend servers.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"comfreycart.dev/comfreycart/internal/call"
@@ -167,10 +168,17 @@
 // room for headers.
 const maxMessageBytes = 64<<20 + 1<<20
 
-// managerOptions keeps a connection open when a call on it is cancelled.
+// writeBytes is gathered before it is written, so that most messages take one system
+// call: the size of the users' mean answer with its headers.
+const writeBytes = 8 << 10
+
+// managerOptions keeps a connection open when a call on it is cancelled. A reply is
+// written together with the end of its stream.
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
-		SoftCancel: true,
-		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		SoftCancel:       true,
+		WriterBufferSize: writeBytes,
+		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Stream:           drpcstream.Options{ManualFlush: true},
 	}
 }
--- a/internal/system/serve/exchange.go
+++ b/internal/system/serve/exchange.go
@@ -32,8 +32,8 @@
 
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBuffer) }}
 
-// writeBuffer holds a request's head and a small body.
-const writeBuffer = 4 << 10
+// writeBuffer holds a request's head and a body of the users' usual size.
+const writeBuffer = 8 << 10
 
 // exchange is one call at a backend server. The standard client is not used, since it
 // sends some requests again by itself and cannot skip an answer to another call.
