A fault soak of a mesh of real processes

It compares what callers were told with what backend servers ran: whole answers, at most once, true refusals, accounts, withdrawn keys, rate and burst, leaving, recovery.

--- a/test/script/fleet_test.go
+++ b/test/script/fleet_test.go
@@ -18,6 +18,7 @@
 	"comfreycart.dev/comfreycart/internal/config"
 	"comfreycart.dev/comfreycart/internal/operator"
 	"comfreycart.dev/comfreycart/internal/settings"
+	"comfreycart.dev/comfreycart/test/links"
 	"comfreycart.dev/comfreycart/test/loopback"
 	"comfreycart.dev/comfreycart/test/pki"
 )
@@ -57,7 +58,7 @@
 	direct bool
 	// pki, if set, signs a certificate for each node's listeners.
 	pki   *pki.Authority
-	links *links
+	links *links.Links
 
 	mu         sync.Mutex
 	deployment string
@@ -78,7 +79,7 @@
 		panic(err)
 	}
 	f.net = network
-	f.links = newLinks()
+	f.links = links.New()
 	return f
 }
 
@@ -98,7 +99,7 @@
 		_ = p.cmd.Process.Kill()
 		<-p.done
 	}
-	f.links.close()
+	f.links.Close()
 	f.net.Release()
 }
 
@@ -162,11 +163,11 @@
 func (f *fleet) addNode(i int) error {
 	name := nodeName(i)
 	ip := f.net.IP(10 + 2*i)
-	f.links.name(ip, name)
-	if err := f.links.open(f.relay(i, portPeer), f.addr(i, portPeer), "", name); err != nil {
+	f.links.Name(ip, name)
+	if err := f.links.Open(f.relay(i, portPeer), f.addr(i, portPeer), "", name); err != nil {
 		return err
 	}
-	if err := f.links.open(f.relay(i, portPlatform), f.platformAddr(), name, "platform"); err != nil {
+	if err := f.links.Open(f.relay(i, portPlatform), f.platformAddr(), name, "platform"); err != nil {
 		return err
 	}
 	cfg := &config.Node{
--- /dev/null
+++ b/test/soak/fleet_test.go
@@ -0,0 +1,230 @@
+// Package soak runs the real daemon as separate processes in a mesh, harms them from
+// outside in series that overlap, and checks the promises from what callers and backend
+// servers see.
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"context"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/test/links"
+	"comfreycart.dev/comfreycart/test/loopback"
+	"comfreycart.dev/comfreycart/test/standin/instance"
+	"comfreycart.dev/comfreycart/test/standin/platform"
+)
+
+const (
+	domains      = 3
+	readyTimeout = 30 * time.Second
+	beatInterval = 300 * time.Millisecond
+
+	portCaller = 7001 + iota
+	portReady
+	portControl
+	portBackend
+	portPeer
+	portMetrics
+	portStore
+)
+
+// storeName is the store's name in the links.
+const storeName = "store"
+
+// daemon is the program under test, built once.
+var daemon string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	daemon = filepath.Join(dir, "comfreycartd")
+	out, err := exec.Command("go", "build", "-o", daemon, "../../cmd/comfreycartd").CombinedOutput()
+	if err != nil {
+		panic("building: " + err.Error() + "\n" + string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// node is one VM: a daemon, its links and its backend server.
+type node struct {
+	f             *fleet
+	index         int
+	name, service string
+	file, log     string
+
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	instance *instance.Instance
+	stopBeat context.CancelFunc
+	births   int
+	// gone are the instances before.
+	gone []*instance.Instance
+}
+
+// fleet is the whole mesh of one seed.
+type fleet struct {
+	t     *testing.T
+	dir   string
+	net   *loopback.Network
+	links *links.Links
+	store *platform.Server
+	nodes []*node
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	network, err := loopback.Claim()
+	require.NoError(t, err)
+	t.Cleanup(network.Release)
+	f := &fleet{t: t, dir: logDir(t), net: network, links: links.New(), store: platform.New()}
+	server := &http.Server{Addr: network.Address(2, portStore), Handler: f.store.Handler()}
+	go func() { _ = server.ListenAndServe() }()
+	t.Cleanup(func() { _ = server.Close() })
+	t.Cleanup(f.links.Close)
+	for i := range size {
+		n := &node{f: f, index: i, name: fmt.Sprintf("n%d", i+1), service: []string{"front", "deep"}[i/domains%2]}
+		f.nodes = append(f.nodes, n)
+		n.prepare()
+		n.start()
+		n.startInstance(fmt.Sprintf("i-%s-0", n.name))
+		t.Cleanup(n.end)
+	}
+	return f
+}
+
+// logDir is where the nodes' logs of a failed seed stay.
+func logDir(t *testing.T) string {
+	dir := os.Getenv("SOAK_LOGS")
+	if dir == "" {
+		return t.TempDir()
+	}
+	dir = filepath.Join(dir, filepath.Base(t.Name()))
+	require.NoError(t, os.MkdirAll(dir, 0o700))
+	return dir
+}
+
+func (n *node) address(port int) string { return n.f.net.Address(10+2*n.index, port) }
+
+// relay is an address of the links in front of the node.
+func (n *node) relay(port int) string { return n.f.net.Address(11+2*n.index, port) }
+
+// prepare opens the node's links and writes its file.
+func (n *node) prepare() {
+	t := n.f.t
+	n.f.links.Name(n.f.net.IP(10+2*n.index), n.name)
+	require.NoError(t, n.f.links.Open(n.relay(portPeer), n.address(portPeer), "", n.name))
+	require.NoError(t, n.f.links.Open(n.relay(portStore), n.f.net.Address(2, portStore), n.name, storeName))
+	cfg := &config.Node{
+		ID: n.name, Deployment: "soak", Domain: fmt.Sprintf("d%d", n.index%domains+1),
+		Listen: config.Listen{
+			Caller: n.address(portCaller), Backend: n.address(portControl),
+			Peer: n.address(portPeer), Metrics: n.address(portMetrics),
+		},
+		AdvertisePeer: n.relay(portPeer),
+		Platform:      config.Platform{URL: "http://" + n.relay(portStore), TimeoutMs: 700},
+		Mesh: &config.Mesh{
+			Service: n.service, Backend: n.address(portBackend), Ready: n.address(portReady),
+			Domains: []string{"d1", "d2", "d3"}, HeartbeatMs: beatInterval.Milliseconds(),
+			KeyStalenessMs: revokeBound.Milliseconds(), StopSeconds: 6, RetryRatio: 0.2, RetryReserve: 50,
+		},
+	}
+	require.NoError(t, cfg.Validate())
+	data, err := json.Marshal(cfg)
+	require.NoError(t, err)
+	n.file, n.log = filepath.Join(n.f.dir, n.name+".json"), filepath.Join(n.f.dir, n.name+".log")
+	require.NoError(t, os.WriteFile(n.file, data, 0o600))
+}
+
+func (n *node) start() {
+	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(n.f.t, err)
+	cmd := exec.Command(daemon, "--config", n.file)
+	cmd.Stdout, cmd.Stderr = log, log
+	require.NoError(n.f.t, cmd.Start())
+	exited := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cmd, n.exited = cmd, exited
+}
+
+// signal sends a signal to the process that this test started.
+func (n *node) signal(s syscall.Signal) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.cmd.Process.Signal(s)
+	return n.exited
+}
+
+func (n *node) end() {
+	n.signal(syscall.SIGCONT)
+	<-n.signal(syscall.SIGKILL)
+	n.stopInstance()
+}
+
+// startInstance starts a backend server beside the node, also under an ID that was used.
+func (n *node) startInstance(id string) {
+	var started *instance.Instance
+	require.Eventually(n.f.t, func() (ok bool) {
+		var err error
+		started, err = instance.Start(id, n.service, n.address(portBackend), n.address(portControl))
+		return err == nil
+	}, readyTimeout, 10*time.Millisecond)
+	beat, stop := context.WithCancel(context.Background())
+	go started.Beat(beat, beatInterval)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.instance, n.stopBeat = started, stop
+	n.births++
+}
+
+// stopInstance ends the backend server without a word.
+func (n *node) stopInstance() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stopBeat()
+	n.instance.Close()
+	n.gone = append(n.gone, n.instance)
+}
+
+func (n *node) current() *instance.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.instance
+}
+
+// runs returns all that was run beside the node.
+func (n *node) runs() []instance.Run {
+	n.mu.Lock()
+	all := append([]*instance.Instance{n.instance}, n.gone...)
+	n.mu.Unlock()
+	var out []instance.Run
+	seen := map[*instance.Instance]bool{}
+	for _, i := range all {
+		if !seen[i] {
+			seen[i] = true
+			out = append(out, i.Runs()...)
+		}
+	}
+	return out
+}
