--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -39,6 +39,7 @@
 }{
 	{1, "none"},
 	{2, "none"},
+	{134, "connections between nodes that had gone silent were used again and again"},
 }
 
 func TestSoak(t *testing.T) {
