--- a/internal/system/serve/dialect.go
+++ b/internal/system/serve/dialect.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -29,6 +31,9 @@
 	// ReportedLoad returns the load that the backend server reports in an answer, and false
 	// if it reports none.
 	ReportedLoad(resp *http.Response) (Load, bool)
+	// Notice returns what the backend server states in an answer for all nodes that send it
+	// calls, and an error if a statement cannot be read.
+	Notice(resp *http.Response) (Notice, error)
 	// Traits returns further properties of the backend servers.
 	Traits() Traits
 	// CanForward reports whether an answer may be passed on to the caller unchanged.
@@ -55,12 +60,34 @@
 // hasRoom reports whether a call could have run immediately.
 func (l Load) hasRoom() bool { return l.Waiting == 0 && l.Running < l.Slots }
 
+// Notice is what a backend server states in an answer for all nodes that send it calls. It
+// holds until an answer to a later call states something else.
+type Notice struct {
+	// RateLimited is set if the backend server takes no more than Rate requests a second from
+	// all nodes together.
+	RateLimited bool
+	Rate        float64
+}
+
+// ParseRate parses a rate limit in requests a second. It returns an error unless the text is a
+// finite number that is not negative.
+func ParseRate(text string) (float64, error) {
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+		return 0, fmt.Errorf("rate limit %q: want a number of requests a second", text)
+	}
+	return rate, nil
+}
+
 // Headers between a node and its backend servers.
 const (
 	HeaderAccount = "Comfreycart-Account"
 	HeaderCall    = "Comfreycart-Call"
 	HeaderTimeout = "Request-Timeout-Ms"
 	HeaderOutcome = "Comfreycart-Outcome"
+	// HeaderRateLimit is the number of requests a second that the backend server takes from all
+	// nodes together, in each of its answers while that holds.
+	HeaderRateLimit = "Comfreycart-Rate-Limit"
 )
 
 // NativeDialect is the dialect of backend servers that use the Comfreycart headers.
@@ -124,6 +151,19 @@
 // ReportedLoad implements Dialect. The native dialect has no load reports.
 func (*NativeDialect) ReportedLoad(*http.Response) (Load, bool) { return Load{}, false }
 
+// Notice implements Dialect.
+func (*NativeDialect) Notice(resp *http.Response) (Notice, error) {
+	var n Notice
+	if text := resp.Header.Get(HeaderRateLimit); text != "" {
+		rate, err := ParseRate(text)
+		if err != nil {
+			return n, err
+		}
+		n.RateLimited, n.Rate = true, rate
+	}
+	return n, nil
+}
+
 // Traits implements Dialect.
 func (*NativeDialect) Traits() Traits { return Traits{} }
 
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -49,10 +49,11 @@
 	gate  *gate.Gate
 	pool  *pool
 	slots int
-	// instance is the instance that failures belongs to.
+	// instance is the instance that failures and notice belong to.
 	instance string
 	failures *pick.FailureRate
 	report   pick.FailureReport
+	notice   heardNotice
 }
 
 // New returns a server that runs calls at the backend servers in locals.
@@ -160,7 +161,7 @@
 		s.backends[service] = b
 	}
 	if b.instance != local.Instance {
-		b.instance, b.failures = local.Instance, pick.NewOwnFailureRate()
+		b.instance, b.failures, b.notice = local.Instance, pick.NewOwnFailureRate(), heardNotice{}
 	}
 	if b.slots != local.Slots {
 		b.slots = local.Slots
@@ -196,6 +197,7 @@
 	unusedRetries, subCalls := running.End()
 	r := call.Result{Failure: f, UnusedRetries: unusedRetries, Overloaded: subCalls.Overloaded, SubCallFailed: subCalls.Failed}
 	if f == nil {
+		s.hearAnswer(b, local, c, resp, begin)
 		s.classifyAnswer(&r, c, b, subCalls.Requested, resp, body)
 	}
 	if r.Failure != nil {
@@ -302,6 +304,7 @@
 	s.metric.Gauge("comfreycart_running_calls", gauge(func(f *call.Feedback) uint32 { return f.InFlight }), "service", service)
 	s.metric.Gauge("comfreycart_admission_threshold", gauge(func(f *call.Feedback) uint32 { return uint32(f.Threshold) }), "service", service)
 	s.metric.Gauge("comfreycart_admission_share_milli", gauge(func(f *call.Feedback) uint32 { return f.ShareMilli }), "service", service)
+	s.registerRateLimitGauge(service)
 	s.metric.Gauge("comfreycart_queued_calls", gauge(func(f *call.Feedback) uint32 { return f.Queued }), "service", service)
 }
 
