The node beside a backend server enforces the rate limit that it names

What callers saw: nothing.

Cause: no part of the system read the limit. The class of fault is a bound of the whole fleet that no single place enforces.

The fix: all calls to a backend server pass the node beside it, so that node alone paces them; a sender that has just started, is cut off or hears late adds nothing. The node's own restart is covered by its senders, which return with each call what they have heard from that instance. A call over the limit is refused before it runs and goes on to an endpoint that has named none.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -100,7 +100,10 @@
 	// HopLocalRetries is set if each sub-call has a retry allowance of its own. Attempts
 	// then carry none of this call's allowance.
 	HopLocalRetries bool
-	Request         *Request
+	// Notice is what the sender last heard from the backend server that the call is sent to, nil
+	// if nothing.
+	Notice  *Notice
+	Request *Request
 }
 
 // Result is the result of a call. Exactly one of Answer and Failure is set.
@@ -137,6 +140,8 @@
 	Limit uint32
 	// Queued is the number of calls waiting at the endpoint.
 	Queued uint32
+	// Notice is what the backend server last stated in its answers, nil if nothing.
+	Notice *Notice
 }
 
 // Level returns the admission level, which combines Threshold and ShareMilli in one
--- a/internal/call/failure.go
+++ b/internal/call/failure.go
@@ -36,8 +36,11 @@
 	Draining        Reason = "draining"
 	QueueFull       Reason = "queue-full"
 	QueueTimeout    Reason = "queue-timeout"
-	ShedAtEntry     Reason = "shed-at-entry"
-	ShedByBackend   Reason = "shed-by-backend"
+	// RateLimited means that the backend server takes no more requests a second, from all nodes
+	// together.
+	RateLimited   Reason = "backend-rate-limit"
+	ShedAtEntry   Reason = "shed-at-entry"
+	ShedByBackend Reason = "shed-by-backend"
 	// RefusedByBackend means that the backend server shed the call although it reported
 	// free slots.
 	RefusedByBackend   Reason = "refused-by-backend"
@@ -70,7 +73,7 @@
 var Reasons = []Reason{
 	BadRequest, NoRoute, KeyUnknown, BodyTooLarge, OverRate, SettingsMissing,
 	SettingsStale, HandleUnknown, NoEndpoint, PeerUnreachable, PeerLost, Draining,
-	QueueFull, QueueTimeout, ShedAtEntry, ShedByBackend, RefusedByBackend, BackendUnreachable,
+	QueueFull, QueueTimeout, RateLimited, ShedAtEntry, ShedByBackend, RefusedByBackend, BackendUnreachable,
 	BackendLost, AnswerTruncated, AnswerTooLarge, AnswerMemory, AnswerMalformed, DeadlinePassed, Cancelled, Fenced,
 	RepeatRunning, RepeatUnknown, RepeatMismatch, ClaimUnreachable, ClaimsFull, SharesUnreachable, NoMemory, Internal,
 	BackendError,
@@ -142,7 +145,7 @@
 // above may retry.
 func (f *Failure) IsOverload() bool {
 	switch f.Reason {
-	case QueueFull, QueueTimeout, ShedAtEntry, ShedByBackend:
+	case QueueFull, QueueTimeout, RateLimited, ShedAtEntry, ShedByBackend:
 		return true
 	}
 	return false
--- /dev/null
+++ b/internal/call/notice.go
@@ -0,0 +1,33 @@
+package call
+
+import "time"
+
+// Notice is what an instance of a backend server states in its answers for all nodes that send
+// it calls. The nodes send it back with their calls, so that the node beside the backend server
+// knows it again after a restart. A notice must not be changed once created.
+type Notice struct {
+	// Instance is the ID of the instance, and StartedAt its start, zero if that is unknown.
+	Instance  string
+	StartedAt time.Time
+	// RateLimited is set if the instance takes no more than Rate requests a second from all
+	// nodes together.
+	RateLimited bool
+	Rate        float64
+}
+
+// IsFrom reports whether an instance with the given ID and start has stated the notice. An unknown
+// start matches any.
+func (n *Notice) IsFrom(instance string, startedAt time.Time) bool {
+	return n.Instance == instance && (n.StartedAt.IsZero() || startedAt.IsZero() || n.StartedAt.Equal(startedAt))
+}
+
+// LimitsRate reports whether n, which may be nil, states a rate limit.
+func (n *Notice) LimitsRate() bool { return n != nil && n.RateLimited }
+
+// Equal reports whether two notices, each of which may be nil, state the same.
+func (n *Notice) Equal(m *Notice) bool {
+	if n == nil || m == nil {
+		return n == m
+	}
+	return n.IsFrom(m.Instance, m.StartedAt) && n.RateLimited == m.RateLimited && n.Rate == m.Rate
+}
--- a/internal/decide/admission/admission_test.go
+++ b/internal/decide/admission/admission_test.go
@@ -75,3 +75,29 @@
 	f = c.Feedback(3*second + clock.Time(maxWindow))
 	require.Equal(t, call.Feedback{Threshold: call.Low, ShareMilli: 1000, Limit: 4}, f)
 }
+
+// A rate limit leaves only those calls in the queue that it lets start soon, the most important
+// ones, and its end makes the backend server available again at once.
+func TestRateLimitEmptiesTheQueueAndEndsAtOnce(t *testing.T) {
+	c := New(40)
+	for range 40 {
+		c.Offer(1, newItem(call.Normal, 10*second))
+	}
+	for i := range 40 {
+		c.Offer(1, newItem(call.Priority(i%int(call.NumPriorities)), 10*second))
+	}
+	evicted := c.SetRateLimit(1, 20)
+	require.Len(t, evicted, 30)
+	for _, it := range evicted {
+		require.False(t, it.Waiting())
+		require.Less(t, it.Priority, call.Critical)
+	}
+	v, _ := c.Offer(1, newItem(call.Low, 10*second))
+	require.Equal(t, Refused, v)
+	for now := clock.Time(1); now < 2*second; now = now.Add(10 * time.Millisecond) {
+		c.Offer(now, newItem(call.Normal, 10*second))
+	}
+	require.Positive(t, c.Feedback(2*second).Level())
+	c.ClearRateLimit()
+	require.Zero(t, c.Feedback(2*second).Level())
+}
--- a/internal/decide/admission/level.go
+++ b/internal/decide/admission/level.go
@@ -87,7 +87,7 @@
 // arrived and could not be run, plus a fraction of the queue's growth and of its distance
 // from the target. Only fractions count because feedback takes effect with a delay.
 func (l *admissionLevel) update(now clock.Time, ld load) {
-	freeFraction := float64(ld.limit-ld.inFlight) / float64(ld.limit)
+	freeFraction := max(0, float64(ld.limit-ld.inFlight)/float64(ld.limit))
 	target := ld.targetQueue()
 	queued := float64(ld.queued)
 	excess := float64(l.refused) + trendGain*(queued-float64(l.lastQueued)) + queueGain*(queued-target)
--- a/internal/decide/pick/moves.go
+++ b/internal/decide/pick/moves.go
@@ -19,6 +19,17 @@
 // message between nodes. The zero value is ready to use.
 type Moves struct{ made int }
 
+// NextLimited reports whether a call that exceeded the rate limit of one endpoint may go on to
+// another one that has named a limit too, and counts the move. Their limits add up, so that this
+// holds for services of any size.
+func (m *Moves) NextLimited() bool {
+	if m.made >= maxMoves {
+		return false
+	}
+	m.made++
+	return true
+}
+
 // Next reports whether the call may go on to another of the service's endpoints, and counts the
 // move.
 func (m *Moves) Next(endpoints int) bool {
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -109,6 +109,17 @@
 	return nil
 }
 
+// PopLast removes and returns the item that is the least important to run; nil if the queue is
+// empty.
+func (q *Queue) PopLast() *Item {
+	for i := range q.classes {
+		if c := &q.classes[i]; c.len > 0 {
+			return q.removeTail(c.longestFlow())
+		}
+	}
+	return nil
+}
+
 // Remove removes an item and reports whether it was waiting.
 func (q *Queue) Remove(it *Item) bool {
 	f := it.flow
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -33,6 +34,7 @@
 		AnswerLimitBytes: c.AnswerLimit,
 		Incarnation:      incarnation,
 		Tag:              c.RequestID,
+		Notice:           noticeToProto(c.Notice),
 		Request: &peerpb.Request{
 			Method:   c.Request.Method,
 			Path:     c.Request.Path,
@@ -62,6 +64,7 @@
 		ServiceTimeUsed: time.Duration(p.SpentUs) * time.Microsecond,
 		AnswerLimit:     p.AnswerLimitBytes,
 		RequestID:       p.Tag,
+		Notice:          noticeFromProto(p.Notice),
 		Request: &call.Request{
 			Method:   p.Request.Method,
 			Path:     p.Request.Path,
@@ -91,6 +94,7 @@
 			InFlight:   f.InFlight,
 			Limit:      f.Limit,
 			Queued:     f.Queued,
+			Notice:     noticeToProto(f.Notice),
 		}
 	}
 	return reply
@@ -115,11 +119,40 @@
 			InFlight:   f.InFlight,
 			Limit:      f.Limit,
 			Queued:     f.Queued,
+			Notice:     noticeFromProto(f.Notice),
 		}
 	}
 	return r, true
 }
 
+// noticeToProto converts a notice to its protobuf form; nil stays nil.
+func noticeToProto(n *call.Notice) *peerpb.BackendNotice {
+	if n == nil {
+		return nil
+	}
+	p := &peerpb.BackendNotice{Instance: n.Instance, RateLimited: n.RateLimited, Rate: n.Rate}
+	if !n.StartedAt.IsZero() {
+		p.StartedAtMs = n.StartedAt.UnixMilli()
+	}
+	return p
+}
+
+// noticeFromProto converts a protobuf message to a notice; nil stays nil. A rate that is not a
+// finite number of at least 0 makes the notice one without a rate limit.
+func noticeFromProto(p *peerpb.BackendNotice) *call.Notice {
+	if p == nil {
+		return nil
+	}
+	n := &call.Notice{Instance: p.Instance}
+	if p.StartedAtMs != 0 {
+		n.StartedAt = time.UnixMilli(p.StartedAtMs)
+	}
+	if p.RateLimited && p.Rate >= 0 && !math.IsInf(p.Rate, 0) {
+		n.RateLimited, n.Rate = true, p.Rate
+	}
+	return n
+}
+
 // failureFromProto converts a protobuf message to a failure. A reason that this version does
 // not know becomes call.Internal; an outcome that it does not know becomes call.Unknown, so
 // that the request counts as one that may have run.
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -3,6 +3,11 @@
 // a non-idempotent call only if the previous attempt is proven not to have run. Failing
 // over from an endpoint that is gone, that refused the call itself, or whose node had no room
 // for it, needs no allowance and is bounded separately.
+//
+// A rate limit that a backend server names holds for the whole fleet, and the node beside the
+// backend server, which all calls to it pass, enforces it alone. The senders neither share it out
+// nor need to have heard of it: a call that exceeds it is refused by that node before it runs and
+// goes on to another endpoint.
 package dispatch
 
 import (
@@ -79,10 +84,11 @@
 	retriesLeft := c.RetryAllowance
 	failovers, refusals := 0, 0
 	var moves pick.Moves
+	avoidLimited := false
 	for {
-		e := d.pickEndpoint(c.Service, tried)
+		e := d.pickEndpoint(c.Service, tried, avoidLimited)
 		if e == nil && refusedByEndpoint(&last) && refusals <= maxRefusalRetries {
-			e = d.pickEndpoint(c.Service, nil)
+			e = d.pickEndpoint(c.Service, nil, false)
 		}
 		if e == nil {
 			return d.lastOrNoEndpoint(last, c, retriesLeft)
@@ -97,14 +103,18 @@
 		}
 		earlierMayHaveRun = earlierMayHaveRun || mayHaveRun(&last)
 		retriesLeft = last.UnusedRetries
-		d.shedder.observe(c, last.Feedback)
+		d.observeLoad(c, last.Feedback)
 		reason, retryable := retryReason(ctx, c, &last)
+		avoidLimited = hitRateLimit(&last) && d.hasUnlimited(c.Service, tried)
 		switch {
 		case retryable && failovers < maxFailovers && endpointGone(&last):
 			failovers++
 		case ctx.Err() == nil && failovers < maxFailovers && hadNoRoom(&last) && moves.Next(len(d.endpoints.ForService(c.Service))):
 			reason, retryable = last.Failure.Reason, true
 			failovers++
+		case ctx.Err() == nil && failovers < maxFailovers && hitRateLimit(&last) && (avoidLimited || moves.NextLimited()):
+			reason, retryable = last.Failure.Reason, true
+			failovers++
 		case retryable && refusals < maxRefusalRetries && refusedByEndpoint(&last) && d.budgets.spend(c, reason):
 			refusals++
 		case retryable && retriesLeft > 0 && d.budgets.spend(c, reason):
@@ -151,6 +161,7 @@
 	attempt := *c
 	attempt.ID = call.NewID()
 	attempt.RetryAllowance = allowance
+	attempt.Notice = e.Notice()
 	e.Load().Begin()
 	defer e.Load().End()
 	var r call.Result
--- a/internal/system/dispatch/pick.go
+++ b/internal/system/dispatch/pick.go
@@ -2,15 +2,39 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"comfreycart.dev/comfreycart/internal/call"
 	"comfreycart.dev/comfreycart/internal/decide/pick"
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
-// pickEndpoint returns an endpoint of the service that was not tried yet, or nil.
-func (d *Dispatcher) pickEndpoint(service string, tried []*table.Endpoint) *table.Endpoint {
-	return pick.Choose(d.clock.Now(), d.endpoints.ForService(service), d.self.Domain, tried, rand.IntN)
+// pickEndpoint returns an endpoint of the service that was not tried yet, or nil. With
+// avoidLimited, it is one that has not named a rate limit.
+func (d *Dispatcher) pickEndpoint(service string, tried []*table.Endpoint, avoidLimited bool) *table.Endpoint {
+	all := d.endpoints.ForService(service)
+	if avoidLimited {
+		all = slices.DeleteFunc(slices.Clone(all), func(e *table.Endpoint) bool { return e.Notice().LimitsRate() })
+	}
+	return pick.Choose(d.clock.Now(), all, d.self.Domain, tried, rand.IntN)
+}
+
+// hasUnlimited reports whether the service has an endpoint that was not tried yet and has not
+// named a rate limit.
+func (d *Dispatcher) hasUnlimited(service string, tried []*table.Endpoint) bool {
+	return slices.ContainsFunc(d.endpoints.ForService(service), func(e *table.Endpoint) bool {
+		return !e.Notice().LimitsRate() && !slices.Contains(tried, e)
+	})
+}
+
+// observeLoad records the load of an endpoint for the admission of new requests. While only some
+// endpoints of a service are rate-limited, the admission level of those says nothing about the
+// service, since calls that exceed the limit go on to the others.
+func (d *Dispatcher) observeLoad(c *call.Call, f *call.Feedback) {
+	if f != nil && f.Notice.LimitsRate() && !d.endpoints.IsRateLimited(c.Service) {
+		return
+	}
+	d.shedder.observe(c, f)
 }
 
 // recordOutcome updates the load and failure statistics of an endpoint after an attempt,
@@ -19,6 +43,7 @@
 	now := d.clock.Now()
 	if r.Feedback != nil {
 		e.Load().RecordFeedback(now, r.Feedback)
+		d.endpoints.RecordNotice(e, r.Feedback.Notice)
 	}
 	e.Load().UpdateFailureRate(now, isEndpointFault(r))
 	if r.Failure == nil {
--- a/internal/system/dispatch/retry.go
+++ b/internal/system/dispatch/retry.go
@@ -53,6 +53,12 @@
 	return r.Failure != nil && r.Failure.Outcome == call.NotRun && r.Failure.Reason == call.QueueFull
 }
 
+// hitRateLimit reports whether the endpoint's node refused the call because of the rate limit that
+// the backend server has named.
+func hitRateLimit(r *call.Result) bool {
+	return r.Failure != nil && r.Failure.Outcome == call.NotRun && r.Failure.Reason == call.RateLimited
+}
+
 // refusedByEndpoint reports whether an endpoint refused the call for a reason that need not
 // hold at other endpoints or later. Since the call reached the backend server, sending it
 // again takes from the service's retry budget. It uses no retry allowance, which bounds
--- a/internal/system/dispatch/retry_test.go
+++ b/internal/system/dispatch/retry_test.go
@@ -166,3 +166,56 @@
 	require.Equal(t, 1, p.sent, "few endpoints")
 	require.Equal(t, call.QueueFull, r.Failure.Reason)
 }
+
+// notingPeers is a fakePeers that records the notices sent with the calls.
+type notingPeers struct {
+	fakePeers
+	notices map[string]*call.Notice
+}
+
+func (p *notingPeers) Call(ctx context.Context, e *table.Endpoint, c *call.Call) call.Result {
+	p.notices[e.Node] = c.Notice
+	return p.fakePeers.Call(ctx, e, c)
+}
+
+// A call that exceeds the rate limit of one endpoint goes on to those that have named none, also if
+// it is not idempotent, and uses neither allowance nor the retry budget.
+func TestCallOverTheRateLimitGoesToAnotherEndpoint(t *testing.T) {
+	limited := call.FailedResult(call.NewRefusal(call.RateLimited, "limited"), 1)
+	limited.Feedback = &call.Feedback{ShareMilli: 1000, Limit: 1, Notice: &call.Notice{Instance: "i", RateLimited: true, Rate: 1}}
+	answered := call.Result{Answer: &call.Answer{Status: 200}, UnusedRetries: 1}
+	p := &fakePeers{results: []call.Result{limited, answered}}
+	r := doCallAmong(t, p, false, 2)
+	require.NotNil(t, r.Answer)
+	require.Equal(t, 2, r.UnusedRetries)
+
+	p = &fakePeers{results: []call.Result{limited, limited, limited}}
+	r = doCallAmong(t, p, false, 2)
+	require.Equal(t, 2, p.sent, "both endpoints are limited")
+	require.Equal(t, call.RateLimited, r.Failure.Reason)
+	require.Equal(t, call.NotRun, r.Failure.Outcome)
+	require.True(t, r.Overloaded)
+}
+
+// What a backend server has stated is sent to its node again after that node's restart.
+func TestNoticeIsSentToTheRestartedNode(t *testing.T) {
+	clk := clock.Boot{}
+	endpoints := table.NewEndpoints(clk)
+	members := table.NewMembers(clk, endpoints)
+	alive := table.Member{ID: "n", Incarnation: 1, State: table.Alive, Endpoints: []table.MemberEndpoint{{Service: "s", Slots: 1, State: table.Ready}}}
+	members.Merge(alive)
+	notice := &call.Notice{Instance: "i", RateLimited: true, Rate: 1}
+	answered := call.Result{Answer: &call.Answer{Status: 200}, Feedback: &call.Feedback{ShareMilli: 1000, Limit: 1, Notice: notice}}
+	p := &notingPeers{fakePeers: fakePeers{results: []call.Result{answered, answered, answered}}, notices: map[string]*call.Notice{}}
+	d := New(Self{ID: "a"}, clk, endpoints, p, nil, budget.Default(), metric.NewSet(), logging.RequestLog(zerolog.Nop()))
+	send := func() {
+		d.Do(t.Context(), &call.Call{Service: "s", Deadline: clk.Now().Add(time.Minute)})
+	}
+	send()
+	require.Nil(t, p.notices["n"])
+	members.Remove("n")
+	alive.Incarnation = 2
+	members.Merge(alive)
+	send()
+	require.Equal(t, notice, p.notices["n"])
+}
--- a/internal/system/gate/gate.go
+++ b/internal/system/gate/gate.go
@@ -18,12 +18,18 @@
 // retryAfter is the Retry-After of a refused call.
 const retryAfter = time.Second
 
+// maxRetryAfter bounds the Retry-After of a call that the rate limit has no room for: the backend
+// server may end the limit at any time.
+const maxRetryAfter = 5 * time.Second
+
 // Gate admits calls to one local backend server. It is safe for concurrent use.
 type Gate struct {
 	clock clock.Clock
 
 	mu         sync.Mutex
 	controller *admission.Controller
+	// wakeScheduled is set while wakeWaiters is due to run because of the rate limit.
+	wakeScheduled bool
 }
 
 // waiter is a call in Acquire.
@@ -58,6 +64,25 @@
 	g.wakeWaiters()
 }
 
+// SetRateLimit sets the rate limit in calls a second that the backend server has named. Queued
+// calls that would wait for it too long are refused.
+func (g *Gate) SetRateLimit(rate float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, item := range g.controller.SetRateLimit(g.clock.Now(), rate) {
+		item.Owner.(*waiter).ready <- admission.Refused
+	}
+	g.wakeWaiters()
+}
+
+// ClearRateLimit ends the rate limit.
+func (g *Gate) ClearRateLimit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.controller.ClearRateLimit()
+	g.wakeWaiters()
+}
+
 // Acquire waits for a permit to run c. If it returns a failure, c does not run: it was
 // removed from the queue before.
 func (g *Gate) Acquire(ctx context.Context, c *call.Call) (Permit, *call.Failure) {
@@ -67,6 +92,7 @@
 	g.mu.Lock()
 	now := g.clock.Now()
 	verdict, evicted := g.controller.Offer(now, &w.item)
+	g.scheduleWake(now)
 	g.mu.Unlock()
 	if evicted != nil {
 		evicted.Owner.(*waiter).ready <- admission.Refused
@@ -78,7 +104,7 @@
 	if verdict == admission.Run {
 		return Permit{gate: g, acquired: now}, nil
 	}
-	return Permit{}, refusal(ctx, verdict, c)
+	return Permit{}, g.refusal(ctx, verdict, c)
 }
 
 // setCall sets the queue item's fields from c.
@@ -107,16 +133,28 @@
 }
 
 // refusal returns the failure of a call that got no permit.
-func refusal(ctx context.Context, verdict admission.Verdict, c *call.Call) *call.Failure {
+func (g *Gate) refusal(ctx context.Context, verdict admission.Verdict, c *call.Call) *call.Failure {
 	if ctx.Err() == context.Canceled {
 		return call.NewRefusal(call.Cancelled, "the caller went away while the call was queued")
 	}
 	if verdict == admission.Refused {
+		if limited, queueTime := g.rateLimit(); limited {
+			return call.NewRefusal(call.RateLimited, "the backend server of %s takes no more requests a second", c.Service).
+				WithRetryAfter(min(maxRetryAfter, queueTime))
+		}
 		return call.NewRefusal(call.QueueFull, "service %s has no room", c.Service).WithRetryAfter(retryAfter)
 	}
 	return call.NewRefusal(call.QueueTimeout, "service %s cannot run the call before its deadline", c.Service)
 }
 
+// rateLimit reports whether there is a rate limit, and in which time it lets the queued calls and
+// one more start.
+func (g *Gate) rateLimit() (limited bool, queueTime time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.controller.RateLimited(), g.controller.QueueTime()
+}
+
 // Release returns the permit and reports how the call ended.
 func (p Permit) Release(o limit.Outcome) {
 	g := p.gate
@@ -131,6 +169,7 @@
 // be late. The caller holds g.mu.
 func (g *Gate) wakeWaiters() {
 	now := g.clock.Now()
+	defer g.scheduleWake(now)
 	for {
 		item, ok := g.controller.Next(now)
 		if item == nil {
@@ -144,6 +183,22 @@
 	}
 }
 
+// scheduleWake has wakeWaiters run when the rate limit permits the next queued call. The caller
+// holds g.mu.
+func (g *Gate) scheduleWake(now clock.Time) {
+	wait := g.controller.NextStart(now)
+	if wait == 0 || g.wakeScheduled {
+		return
+	}
+	g.wakeScheduled = true
+	time.AfterFunc(wait, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.wakeScheduled = false
+		g.wakeWaiters()
+	})
+}
+
 // Feedback returns the current load and admission threshold of the backend server.
 func (g *Gate) Feedback() *call.Feedback {
 	g.mu.Lock()
--- a/internal/system/serve/dialect.go
+++ b/internal/system/serve/dialect.go
@@ -32,8 +32,8 @@
 	// if it reports none.
 	ReportedLoad(resp *http.Response) (Load, bool)
 	// Notice returns what the backend server states in an answer for all nodes that send it
-	// calls, and an error if a statement cannot be read.
-	Notice(resp *http.Response) (Notice, error)
+	// calls, without the instance. It returns an error if a statement is malformed.
+	Notice(resp *http.Response) (call.Notice, error)
 	// Traits returns further properties of the backend servers.
 	Traits() Traits
 	// CanForward reports whether an answer may be passed on to the caller unchanged.
@@ -60,15 +60,6 @@
 // hasRoom reports whether a call could have run immediately.
 func (l Load) hasRoom() bool { return l.Waiting == 0 && l.Running < l.Slots }
 
-// Notice is what a backend server states in an answer for all nodes that send it calls. It
-// holds until an answer to a later call states something else.
-type Notice struct {
-	// RateLimited is set if the backend server takes no more than Rate requests a second from
-	// all nodes together.
-	RateLimited bool
-	Rate        float64
-}
-
 // ParseRate parses a rate limit in requests a second. It returns an error unless the text is a
 // finite number that is not negative.
 func ParseRate(text string) (float64, error) {
@@ -152,8 +143,8 @@
 func (*NativeDialect) ReportedLoad(*http.Response) (Load, bool) { return Load{}, false }
 
 // Notice implements Dialect.
-func (*NativeDialect) Notice(resp *http.Response) (Notice, error) {
-	var n Notice
+func (*NativeDialect) Notice(resp *http.Response) (call.Notice, error) {
+	var n call.Notice
 	if text := resp.Header.Get(HeaderRateLimit); text != "" {
 		rate, err := ParseRate(text)
 		if err != nil {
--- a/internal/system/serve/notice.go
+++ b/internal/system/serve/notice.go
@@ -8,11 +8,16 @@
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
-// heardNotice is what a backend server's present instance has stated in its answers.
+// heardNotice is what the present instance of a backend server has stated. The node beside the
+// backend server, which all calls to it pass, acts on it for the whole fleet.
 type heardNotice struct {
-	Notice
-	// at is when an answer with a rate limit last arrived.
-	at clock.Time
+	// notice is nil if nothing was stated.
+	notice *call.Notice
+	// answered is set once this node has an answer of the instance. From then on, what the
+	// senders of calls have heard is not newer.
+	answered bool
+	// limitedAt is when an answer with a rate limit last arrived.
+	limitedAt clock.Time
 }
 
 // hearAnswer records what the backend server states in the answer to a call that was sent at
@@ -25,30 +30,63 @@
 			Msg("notice of the backend server ignored")
 		return
 	}
+	n.Instance, n.StartedAt = local.Instance, local.StartedAt
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if b.instance != local.Instance {
+	if !b.isInstance(local) {
 		return
 	}
-	if n.RateLimited {
-		b.notice.at = s.clock.Now()
-	} else if begin.Before(b.notice.at) {
+	b.heard.answered = true
+	switch {
+	case n.RateLimited:
+		b.heard.limitedAt = s.clock.Now()
+		s.setNotice(b, c, &n, "answer")
+	case begin.Before(b.heard.limitedAt):
 		// The backend server may have sent this answer before it named the limit.
+	default:
+		s.setNotice(b, c, nil, "answer")
+	}
+}
+
+// hearSender records what the sender of c has heard from the backend server. After a restart this
+// node thereby knows it before it sends the backend server any call of that sender.
+func (s *Server) hearSender(b *backend, local table.LocalBackend, c *call.Call) {
+	if c.Notice == nil || !c.Notice.IsFrom(local.Instance, local.StartedAt) {
 		return
 	}
-	s.setRateLimit(b, local, c, n)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b.isInstance(local) && !b.heard.answered {
+		s.setNotice(b, c, c.Notice, "sender")
+	}
 }
 
-// setRateLimit sets the rate limit that the backend server has named. The caller holds s.mu.
-func (s *Server) setRateLimit(b *backend, local table.LocalBackend, c *call.Call, n Notice) {
-	if n.RateLimited == b.notice.RateLimited && n.Rate == b.notice.Rate {
+// setNotice applies what the backend server states, nil if nothing. source says how this node
+// knows it. The caller holds s.mu.
+func (s *Server) setNotice(b *backend, c *call.Call, n *call.Notice, source string) {
+	previous := b.heard.notice
+	if n.Equal(previous) {
 		return
 	}
-	s.log.Info().Str("request", c.RequestID).Str("service", local.Service).Str("instance", local.Instance).
-		Bool("limited", n.RateLimited).Float64("rate_per_s", n.Rate).
-		Bool("was_limited", b.notice.RateLimited).Float64("previous_rate_per_s", b.notice.Rate).
-		Msg("rate limit of the backend server changed")
-	b.notice.RateLimited, b.notice.Rate = n.RateLimited, n.Rate
+	b.heard.notice = n
+	e := s.log.Info().Str("request", c.RequestID).Str("service", c.Service).Str("instance", b.instance).Str("source", source).
+		Bool("limited", n.LimitsRate()).Bool("was_limited", previous.LimitsRate())
+	if n.LimitsRate() {
+		b.gate.SetRateLimit(n.Rate)
+		e = e.Float64("rate_per_s", n.Rate)
+	} else {
+		b.gate.ClearRateLimit()
+	}
+	e.Msg("rate limit of the backend server changed")
+}
+
+// feedback returns the load of a backend server together with what it states.
+func (s *Server) feedback(b *backend) *call.Feedback {
+	f := b.gate.Feedback()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.Notice = b.heard.notice
+	return f
 }
 
 // registerRateLimitGauge registers the gauge for the rate limit that the backend server of a
@@ -57,8 +95,8 @@
 	s.metric.Gauge("comfreycart_backend_rate_limit", func() float64 {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if b := s.backends[service]; b != nil && b.notice.RateLimited {
-			return b.notice.Rate
+		if b := s.backends[service]; b != nil && b.heard.notice.LimitsRate() {
+			return b.heard.notice.Rate
 		}
 		return -1
 	}, "service", service)
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -49,11 +49,18 @@
 	gate  *gate.Gate
 	pool  *pool
 	slots int
-	// instance is the instance that failures and notice belong to.
-	instance string
-	failures *pick.FailureRate
-	report   pick.FailureReport
-	notice   heardNotice
+	// instance and startedAt identify the instance that failures and heard belong to.
+	// startedAt is zero until the instance has reported its start.
+	instance  string
+	startedAt time.Time
+	failures  *pick.FailureRate
+	report    pick.FailureReport
+	heard     heardNotice
+}
+
+// isInstance reports whether local is the instance that the state belongs to.
+func (b *backend) isInstance(local table.LocalBackend) bool {
+	return b.instance == local.Instance && (b.startedAt.IsZero() || local.StartedAt.IsZero() || b.startedAt.Equal(local.StartedAt))
 }
 
 // New returns a server that runs calls at the backend servers in locals.
@@ -84,6 +91,7 @@
 		s.fences.Fence(c.ID)
 		return call.FailedResult(f, c.RetryAllowance)
 	}
+	s.hearSender(b, local, c)
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline.Sub(s.clock.Now()))
 	defer cancel()
 	permit, f := b.gate.Acquire(ctx, c)
@@ -132,7 +140,7 @@
 func (s *Server) refuse(b *backend, c *call.Call, f *call.Failure) call.Result {
 	s.metric.Counter("comfreycart_sheds_total", "service", c.Service, "priority", c.Priority.String(), "reason", string(f.Reason)).Inc()
 	r := call.FailedResult(f, c.RetryAllowance)
-	r.Feedback = b.gate.Feedback()
+	r.Feedback = s.feedback(b)
 	s.log.Info().Str("request", c.RequestID).Str("call", c.ID.String()).Str("service", c.Service).Str("account", c.Account).
 		Str("priority", c.Priority.String()).Uint32("running", r.Feedback.InFlight).Uint32("limit", r.Feedback.Limit).
 		Uint32("queued", r.Feedback.Queued).Dur("left_ms", c.Deadline.Sub(s.clock.Now())).
@@ -160,8 +168,13 @@
 		b = &backend{gate: gate.New(s.clock, local.Slots), pool: newPool(local.Address), failures: pick.NewOwnFailureRate()}
 		s.backends[service] = b
 	}
-	if b.instance != local.Instance {
-		b.instance, b.failures, b.notice = local.Instance, pick.NewOwnFailureRate(), heardNotice{}
+	if !b.isInstance(local) {
+		b.startedAt, b.failures, b.heard = time.Time{}, pick.NewOwnFailureRate(), heardNotice{}
+		b.gate.ClearRateLimit()
+	}
+	b.instance = local.Instance
+	if !local.StartedAt.IsZero() {
+		b.startedAt = local.StartedAt
 	}
 	if b.slots != local.Slots {
 		b.slots = local.Slots
@@ -207,7 +220,7 @@
 	}
 	r.SubCallFailed = r.SubCallFailed || r.Failed() && s.calls.UnattributedFailureSince(begin)
 	s.failuresOf(b).Record(s.clock.Now(), isBackendFault(&r))
-	r.Feedback = running.StrictestFeedback(b.gate.Feedback())
+	r.Feedback = running.StrictestFeedback(s.feedback(b))
 	return r
 }
 
--- a/internal/table/endpoints.go
+++ b/internal/table/endpoints.go
@@ -26,8 +26,9 @@
 	// Endpoints.mu.
 	dead bool
 
-	state atomic.Value
-	load  pick.Load
+	state  atomic.Value
+	load   pick.Load
+	notice atomic.Pointer[call.Notice]
 }
 
 // Slots returns the number of calls that the endpoint runs concurrently.
@@ -65,6 +66,8 @@
 	// includes those on nodes believed to be dead.
 	known       map[string][]*Endpoint
 	suspensions []suspension
+	// notices holds what backend servers have stated, also those of endpoints not in known.
+	notices map[endpointKey]keptNotice
 	// published holds the lists that readers see; index is its copy for lock-free reads.
 	published map[string]*atomic.Pointer[[]*Endpoint]
 	index     atomic.Pointer[map[string]*atomic.Pointer[[]*Endpoint]]
@@ -74,6 +77,7 @@
 func NewEndpoints(c clock.Clock) *Endpoints {
 	t := &Endpoints{
 		clock: c, known: map[string][]*Endpoint{}, published: map[string]*atomic.Pointer[[]*Endpoint]{},
+		notices: map[endpointKey]keptNotice{},
 	}
 	t.publishIndex()
 	return t
@@ -130,6 +134,7 @@
 		Domain: m.Domain, Service: e.Service, AddedAt: t.clock.Now(), dead: m.State == Dead,
 	}
 	added.load.MarkAdded(added.AddedAt)
+	added.notice.Store(t.notices[endpointKey{m.ID, e.Service}].notice)
 	added.update(e)
 	list = slices.Clone(list)
 	if at >= 0 {
