A backend server that says in an answer that it is leaving gets no more calls

A node read only the announcements of a backend server; one that said in its answers that it was leaving went on getting calls until its announcement came, and again after a restart of the node beside it.

Cause: like the rate limit, the statement reached the node and nothing acted on it, and no node kept it beyond its own process.

The fix: the node beside the backend server takes the statement for a departure, which is final for the instance, and refuses further calls before they run. The notice that senders return with their calls carries it, so that a restarted node refuses their calls at once. The same gap elsewhere: if a node had found an instance by itself, its start was unknown, and a late announcement brought it back after its departure; for ten seconds it is now taken for a late one.

TestBackendServerThatSaysItIsLeavingGetsNoMoreCalls failed on the code before.

--- a/internal/call/notice.go
+++ b/internal/call/notice.go
@@ -13,6 +13,8 @@
 	// nodes together.
 	RateLimited bool
 	Rate        float64
+	// Leaving is set if the instance takes no new calls any more. It never takes any again.
+	Leaving bool
 }
 
 // IsFrom reports whether an instance with the given ID and start has stated the notice. An unknown
@@ -24,10 +26,13 @@
 // LimitsRate reports whether n, which may be nil, states a rate limit.
 func (n *Notice) LimitsRate() bool { return n != nil && n.RateLimited }
 
+// IsLeaving reports whether n, which may be nil, states that the instance is leaving.
+func (n *Notice) IsLeaving() bool { return n != nil && n.Leaving }
+
 // Equal reports whether two notices, each of which may be nil, state the same.
 func (n *Notice) Equal(m *Notice) bool {
 	if n == nil || m == nil {
 		return n == m
 	}
-	return n.IsFrom(m.Instance, m.StartedAt) && n.RateLimited == m.RateLimited && n.Rate == m.Rate
+	return n.IsFrom(m.Instance, m.StartedAt) && n.RateLimited == m.RateLimited && n.Rate == m.Rate && n.Leaving == m.Leaving
 }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -130,7 +130,7 @@
 	if n == nil {
 		return nil
 	}
-	p := &peerpb.BackendNotice{Instance: n.Instance, RateLimited: n.RateLimited, Rate: n.Rate}
+	p := &peerpb.BackendNotice{Instance: n.Instance, RateLimited: n.RateLimited, Rate: n.Rate, Leaving: n.Leaving}
 	if !n.StartedAt.IsZero() {
 		p.StartedAtMs = n.StartedAt.UnixMilli()
 	}
@@ -143,7 +143,7 @@
 	if p == nil {
 		return nil
 	}
-	n := &call.Notice{Instance: p.Instance}
+	n := &call.Notice{Instance: p.Instance, Leaving: p.Leaving}
 	if p.StartedAtMs != 0 {
 		n.StartedAt = time.UnixMilli(p.StartedAtMs)
 	}
--- a/internal/peer/convert_test.go
+++ b/internal/peer/convert_test.go
@@ -19,7 +19,7 @@
 		ID: call.NewID(), Account: "a", Service: "s", Route: "r", Priority: call.Critical,
 		Idempotent: true, Deadline: clock.Time(3 * time.Second), RetryAllowance: 2, Depth: 4,
 		ServiceTimeUsed: time.Millisecond, AnswerLimit: 9,
-		Notice: &call.Notice{Instance: "i", StartedAt: time.UnixMilli(5), RateLimited: true, Rate: 1.5},
+		Notice: &call.Notice{Instance: "i", StartedAt: time.UnixMilli(5), RateLimited: true, Rate: 1.5, Leaving: true},
 		Request: &call.Request{
 			Method: "GET", Path: "/p", RawQuery: "q=1",
 			Header: http.Header{"X": {"1", "2"}}, Body: []byte("body"),
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -176,7 +176,7 @@
 	if r.Failure != nil && r.Failure.Reason == call.Fenced && r.Failure.Outcome == call.NotRun {
 		r.UnusedRetries = allowance
 	}
-	if r.Failure != nil && r.Failure.Reason == call.Draining {
+	if r.Failure != nil && r.Failure.Reason == call.Draining || r.Feedback != nil && r.Feedback.Notice.IsLeaving() {
 		d.endpoints.Suspend(e)
 	}
 	d.recordOutcome(e, &r)
--- a/internal/system/serve/dialect.go
+++ b/internal/system/serve/dialect.go
@@ -79,6 +79,8 @@
 	// HeaderRateLimit is the number of requests a second that the backend server takes from all
 	// nodes together, in each of its answers while that holds.
 	HeaderRateLimit = "Comfreycart-Rate-Limit"
+	// HeaderLeaving is "1" in the answers of a backend server that takes no new calls any more.
+	HeaderLeaving = "Comfreycart-Leaving"
 )
 
 // NativeDialect is the dialect of backend servers that use the Comfreycart headers.
@@ -144,7 +146,7 @@
 
 // Notice implements Dialect.
 func (*NativeDialect) Notice(resp *http.Response) (call.Notice, error) {
-	var n call.Notice
+	n := call.Notice{Leaving: resp.Header.Get(HeaderLeaving) == "1"}
 	if text := resp.Header.Get(HeaderRateLimit); text != "" {
 		rate, err := ParseRate(text)
 		if err != nil {
--- a/internal/system/serve/notice.go
+++ b/internal/system/serve/notice.go
@@ -21,14 +21,13 @@
 }
 
 // hearAnswer records what the backend server states in the answer to a call that was sent at
-// begin.
+// begin. A malformed rate limit leaves the one before it in force.
 func (s *Server) hearAnswer(b *backend, local table.LocalBackend, c *call.Call, resp *http.Response, begin clock.Time) {
 	n, err := s.dialect.Notice(resp)
 	if err != nil {
 		s.metric.Counter("comfreycart_backend_notices_invalid_total", "service", local.Service).Inc()
 		s.log.Warn().Err(err).Str("request", c.RequestID).Str("service", local.Service).Str("instance", local.Instance).
-			Msg("notice of the backend server ignored")
-		return
+			Msg("rate limit of the backend server ignored")
 	}
 	n.Instance, n.StartedAt = local.Instance, local.StartedAt
 	s.mu.Lock()
@@ -36,14 +35,19 @@
 	if !b.isInstance(local) {
 		return
 	}
+	previous := b.heard.notice
 	b.heard.answered = true
+	n.Leaving = n.Leaving || previous.IsLeaving() && isFinal(previous)
 	switch {
-	case n.RateLimited:
+	case err == nil && n.RateLimited:
 		b.heard.limitedAt = s.clock.Now()
+	case previous.LimitsRate() && (err != nil || begin.Before(b.heard.limitedAt)):
+		// An answer to an earlier call may have left before the backend server named the limit.
+		n.RateLimited, n.Rate = true, previous.Rate
+	}
+	if n.RateLimited || n.Leaving {
 		s.setNotice(b, c, &n, "answer")
-	case begin.Before(b.heard.limitedAt):
-		// The backend server may have sent this answer before it named the limit.
-	default:
+	} else {
 		s.setNotice(b, c, nil, "answer")
 	}
 }
@@ -56,11 +60,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if b.isInstance(local) && !b.heard.answered {
+	if b.isInstance(local) && (!b.heard.answered || c.Notice.Leaving && isFinal(c.Notice)) {
 		s.setNotice(b, c, c.Notice, "sender")
 	}
 }
 
+// isFinal reports whether the notice is certain to be from the present instance, so that an instance
+// that is leaving never takes calls again. Instances without an ID cannot be told apart.
+func isFinal(n *call.Notice) bool { return n.Instance != "" }
+
 // setNotice applies what the backend server states, nil if nothing. source says how this node
 // knows it. The caller holds s.mu.
 func (s *Server) setNotice(b *backend, c *call.Call, n *call.Notice, source string) {
@@ -69,6 +77,19 @@
 		return
 	}
 	b.heard.notice = n
+	if n.IsLeaving() && !previous.IsLeaving() {
+		s.locals.ApplyDeparture(table.Announcement{Service: c.Service, Instance: b.instance, StartedAt: b.startedAt}, s.clock.Now())
+		s.log.Info().Str("request", c.RequestID).Str("service", c.Service).Str("instance", b.instance).
+			Str("source", source).Msg("backend server is leaving")
+	}
+	s.setRateLimit(b, c, previous, n, source)
+}
+
+// setRateLimit applies the rate limit of a new notice. The caller holds s.mu.
+func (s *Server) setRateLimit(b *backend, c *call.Call, previous, n *call.Notice, source string) {
+	if n.LimitsRate() == previous.LimitsRate() && (!n.LimitsRate() || n.Rate == previous.Rate) {
+		return
+	}
 	e := s.log.Info().Str("request", c.RequestID).Str("service", c.Service).Str("instance", b.instance).Str("source", source).
 		Bool("limited", n.LimitsRate()).Bool("was_limited", previous.LimitsRate())
 	if n.LimitsRate() {
--- a/internal/system/serve/notice_test.go
+++ b/internal/system/serve/notice_test.go
@@ -23,13 +23,15 @@
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
-// limitedBackend is a backend server that may name a rate limit, with the node beside it.
+// limitedBackend is a backend server that may name a rate limit or be leaving, with the node beside
+// it.
 type limitedBackend struct {
 	server  *Server
 	locals  *table.LocalBackends
 	address string
 	// header is the value of the rate limit's header, empty for none.
 	header   atomic.Pointer[string]
+	leaving  atomic.Bool
 	arrivals atomic.Int64
 }
 
@@ -44,6 +46,9 @@
 		if rate := *b.header.Load(); rate != "" {
 			header = HeaderRateLimit + ": " + rate + "\r\n"
 		}
+		if b.leaving.Load() {
+			header += HeaderLeaving + ": 1\r\n"
+		}
 		_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nComfreycart-Call: %s\r\n%sContent-Length: 0\r\n\r\n", r.Header.Get(HeaderCall), header))
 	}).address
 	b.restartNode()
@@ -153,3 +158,53 @@
 	b.name("many")
 	require.Equal(t, 30.0, b.send(t, nil).Feedback.Notice.Rate)
 }
+
+func requireDraining(t *testing.T, r call.Result) {
+	require.NotNil(t, r.Failure)
+	require.Equal(t, call.Draining, r.Failure.Reason)
+	require.Equal(t, call.NotRun, r.Failure.Outcome)
+}
+
+// Not even an announcement that it is ready, which may have been delayed, brings it back.
+func TestBackendServerThatSaysItIsLeavingGetsNoMoreCalls(t *testing.T) {
+	b := startLimitedBackend(t)
+	b.leaving.Store(true)
+	require.True(t, b.send(t, nil).Feedback.Notice.Leaving)
+	requireDraining(t, b.send(t, nil))
+	b.announce(1)
+	requireDraining(t, b.send(t, nil))
+	require.EqualValues(t, 1, b.arrivals.Load())
+
+	b.leaving.Store(false)
+	b.announce(2)
+	require.Nil(t, b.send(t, nil).Failure, "the next instance at the address")
+}
+
+func TestRestartedNodeSendsNoCallOfASenderThatKnowsOfTheLeaving(t *testing.T) {
+	b := startLimitedBackend(t)
+	b.leaving.Store(true)
+	known := b.send(t, nil).Feedback.Notice
+	b.restartNode()
+	requireDraining(t, b.send(t, known))
+	requireDraining(t, b.send(t, nil))
+	require.EqualValues(t, 1, b.arrivals.Load())
+}
+
+// Without instance IDs, the next announcement may be that of another instance.
+func TestBackendServerWithoutInstanceIDIsBackAfterItsNextAnnouncement(t *testing.T) {
+	b := startLimitedBackend(t)
+	row := table.LocalBackend{Service: "s", Address: b.address, Slots: limitedSlots, State: table.Ready, LastHeard: clock.Boot{}.Now()}
+	other := row
+	other.Service = "other"
+	b.locals.Set(row)
+	b.locals.Set(other)
+	b.leaving.Store(true)
+	require.True(t, b.send(t, nil).Feedback.Notice.Leaving)
+	requireDraining(t, b.send(t, nil))
+	unchanged, _ := b.locals.Get("other")
+	require.Equal(t, table.Ready, unchanged.State)
+
+	b.leaving.Store(false)
+	b.locals.Set(row)
+	require.Nil(t, b.send(t, nil).Feedback.Notice)
+}
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -92,6 +92,10 @@
 		return call.FailedResult(f, c.RetryAllowance)
 	}
 	s.hearSender(b, local, c)
+	if s.isLeaving(c.Service) {
+		s.fences.Fence(c.ID)
+		return s.refuse(b, c, call.NewRefusal(call.Draining, "the sender has heard that the endpoint is leaving"))
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline.Sub(s.clock.Now()))
 	defer cancel()
 	permit, f := b.gate.Acquire(ctx, c)
--- a/internal/table/local_backends.go
+++ b/internal/table/local_backends.go
@@ -69,14 +69,18 @@
 	return now.Sub(l.LastHeard) > t.timeout
 }
 
+// maxAnnouncementDelay is how much later than its sender left an announcement may arrive.
+const maxAnnouncementDelay = 10 * time.Second
+
 // ApplyAnnouncement applies an announcement. It returns false and changes nothing if what
 // is known is newer: a later start, a later announcement since the same start, or the
-// departure of the instance.
+// departure of the instance. If the start of a departed instance is not known, its
+// announcements are taken for late ones until maxAnnouncementDelay after the departure.
 func (t *LocalBackends) ApplyAnnouncement(a Announcement, now clock.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, known := t.rows[a.Service]
-	if known && !a.newer(old) {
+	if known && (!a.newer(old) || a.mayPrecedeDeparture(old, now)) {
 		return false
 	}
 	t.put(a, now)
@@ -119,23 +123,36 @@
 	return a.Instance != old.Instance || a.Sequence > old.Sequence
 }
 
+// mayPrecedeDeparture reports whether a may be from before the departure of an instance whose start
+// is not known.
+func (a *Announcement) mayPrecedeDeparture(old LocalBackend, now clock.Time) bool {
+	return old.Sequence == departedSequence && old.StartedAt.IsZero() && a.Instance == old.Instance &&
+		now.Sub(old.LastHeard) < maxAnnouncementDelay
+}
+
 // departedSequence is the sequence of an instance that has announced its departure. It is
 // the highest value, so that no announcement since the same start is newer.
 const departedSequence = ^uint64(0)
 
 // ApplyDeparture records that an instance is gone. It returns false if no backend server
 // here is that instance with that start time. A departure without a start time matches any
-// start of the instance.
+// start of the instance, and one without a service any service.
 func (t *LocalBackends) ApplyDeparture(a Announcement, now clock.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for service, l := range t.rows {
+		if a.Service != "" && a.Service != service {
+			continue
+		}
 		if l.Instance != a.Instance || !a.StartedAt.IsZero() && !l.StartedAt.IsZero() && !a.StartedAt.Equal(l.StartedAt) {
 			continue
 		}
 		if l.State != Draining {
 			t.changes++
 		}
+		if l.StartedAt.IsZero() {
+			l.StartedAt = a.StartedAt
+		}
 		l.State, l.Sequence, l.LastHeard = Draining, departedSequence, now
 		t.rows[service] = l
 		return true
--- a/internal/table/local_backends_test.go
+++ b/internal/table/local_backends_test.go
@@ -54,3 +54,20 @@
 	_, ok := l.Get("s")
 	require.False(t, ok)
 }
+
+// A node that has found a backend server by itself does not know its start, so that a late
+// announcement looks like that of a new start.
+func TestLateAnnouncementDoesNotBringBackADepartedInstanceOfUnknownStart(t *testing.T) {
+	l := NewLocalBackends(time.Second)
+	discovered := announcement("a", 0, 0, Ready)
+	discovered.StartedAt = time.Time{}
+	depart := func(now clock.Time) {
+		left := discovered
+		require.True(t, l.ApplyDeparture(left, now))
+	}
+	require.True(t, l.AddDiscovered(discovered, 1))
+	depart(2)
+	require.False(t, l.ApplyAnnouncement(announcement("a", 1, 4, Ready), 3))
+	require.True(t, l.ApplyAnnouncement(announcement("b", 1, 1, Ready), 4), "another instance")
+	require.True(t, l.ApplyAnnouncement(announcement("a", 2, 1, Ready), clock.Time(2*maxAnnouncementDelay)))
+}
