Log lines and gauge for the era of the platform's store

The logs did not show that the store had been restored from a copy, nor whether a row was from before or after it, so that two of the three hypotheses looked alike.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -18,6 +18,8 @@
 	Key     string `json:"key"`
 	Value   []byte `json:"value"`
 	Version uint64 `json:"version"`
+	// Era is how often the store had been restored from a copy when the row was read.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Condition requires a row to have exactly the given version; 0 requires that it does not exist.
@@ -59,6 +61,8 @@
 	Removed []string
 	// Version is the version to pass to the next call of Watch.
 	Version uint64
+	// Era is how often the store had been restored from a copy.
+	Era uint64
 }
 
 // Feed reports changes to tables.
--- a/internal/system/document/document.go
+++ b/internal/system/document/document.go
@@ -122,6 +122,11 @@
 		}
 		return 0
 	})
+	m.Gauge("comfreycart_platform_era", func() float64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return float64(f.latestRow.Era)
+	})
 	return f
 }
 
@@ -179,9 +184,12 @@
 func (f *Follower) isKnown() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.latestRow.Version != 0
+	return f.isKnownLocked()
 }
 
+// isKnownLocked is isKnown for callers that hold f.mu.
+func (f *Follower) isKnownLocked() bool { return f.latestRow.Version != 0 }
+
 // isPlatformDue reports whether this node may ask the platform although other nodes answer it.
 // Requests that fail are then rare, since in an outage each node of the fleet is in that state.
 func (f *Follower) isPlatformDue() bool {
@@ -248,15 +256,29 @@
 func (f *Follower) applyRow(row platform.Row) {
 	view := f.compileRow(row)
 	f.mu.Lock()
+	f.logOrder(row, view)
 	f.latestRow, f.rowValid = row, view != nil
 	if old := f.current.View(); view != nil && (old == nil || view.Version > old.Version) {
 		f.current.Install(view)
-		f.log.Info().Uint64("version", view.Version).Uint64("row", row.Version).
+		f.log.Info().Uint64("version", view.Version).Uint64("row", row.Version).Uint64("era", row.Era).
 			Int("accounts", len(view.Accounts)).Msg("settings installed")
 	}
 	f.mu.Unlock()
 }
 
+// logOrder logs a state of the row that does not follow the one before: the store has been restored
+// from a copy, or its document is older than the installed one. The caller holds f.mu.
+func (f *Follower) logOrder(row platform.Row, view *settings.View) {
+	if row.Era != f.latestRow.Era && f.isKnownLocked() {
+		f.log.Warn().Uint64("era", row.Era).Uint64("row", row.Version).Uint64("previous_era", f.latestRow.Era).
+			Uint64("previous_row", f.latestRow.Version).Msg("the platform's store was restored from a copy")
+	}
+	if installed := f.current.View(); view != nil && installed != nil && view.Version < installed.Version {
+		f.log.Warn().Uint64("era", row.Era).Uint64("row", row.Version).Uint64("version", view.Version).
+			Uint64("installed", installed.Version).Msg("older settings than the installed ones were read")
+	}
+}
+
 // compileRow compiles the document of a row. It returns nil and logs the error if the
 // document cannot be decoded or is invalid.
 func (f *Follower) compileRow(row platform.Row) *settings.View {
