Settings stay the newest when the store comes back from a copy

Cause: nodes compared the store's version numbers across a restore, which gives them out again. A watch that went on after a number of before was answered without the changes below it, and that counted as a confirmation; a row passed on by another node with a lower number was ignored. The class of fault is an order kept by an outside counter that may go back. Evidence: the woken nodes log neither a refused watch nor a restore.

The fix: versions of the store include its era, so that everything compared with them is ordered across restores and a watch or condition of an earlier era fails. Documents are ordered by the operators' version alone: a copy replaces nothing, is not passed on and confirms nothing, and nodes tell each other the newest version that they know of.

--- a/internal/platform/counted.go
+++ b/internal/platform/counted.go
@@ -41,7 +41,7 @@
 	return c.store.Scan(ctx, prefix)
 }
 
-func (c *counted) Transact(ctx context.Context, tx Tx) (uint64, error) {
+func (c *counted) Transact(ctx context.Context, tx Tx) (Version, error) {
 	table := ""
 	if len(tx.Writes) > 0 {
 		table = tableOf(tx.Writes[0].Key)
@@ -50,7 +50,7 @@
 	return c.store.Transact(ctx, tx)
 }
 
-func (c *counted) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error) {
+func (c *counted) Watch(ctx context.Context, table string, after Version, wait time.Duration) (Changes, error) {
 	c.count("watch", table)
 	return c.store.Watch(ctx, table, after, wait)
 }
--- a/internal/platform/counted_test.go
+++ b/internal/platform/counted_test.go
@@ -18,11 +18,11 @@
 	return Row{}, &Error{Kind: Unavailable, Op: "get row"}
 }
 
-func (unavailableStore) Watch(context.Context, string, uint64, time.Duration) (Changes, error) {
+func (unavailableStore) Watch(context.Context, string, Version, time.Duration) (Changes, error) {
 	return Changes{}, &Error{Kind: Expired, Op: "watch table"}
 }
 
-func (unavailableStore) Transact(context.Context, Tx) (uint64, error) { return 7, nil }
+func (unavailableStore) Transact(context.Context, Tx) (Version, error) { return 7, nil }
 
 // Each call counts under its operation and table, failed ones too, since these are paid for as
 // well; results are passed on as they are.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -12,20 +12,19 @@
 	"time"
 )
 
-// Row is a table row. Version increases with each write, even if the row was deleted in between,
-// and is never 0. The part of the key before the first slash is the name of the table.
+// Row is a table row. Version increases with each write, even if the row was deleted in between, and
+// with each restore of the store, and is never 0. The part of the key before the first slash is the
+// name of the table.
 type Row struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value"`
-	Version uint64 `json:"version"`
-	// Era is how often the store had been restored from a copy when the row was read.
-	Era uint64 `json:"era,omitempty"`
+	Key     string  `json:"key"`
+	Value   []byte  `json:"value"`
+	Version Version `json:"version"`
 }
 
 // Condition requires a row to have exactly the given version; 0 requires that it does not exist.
 type Condition struct {
-	Key     string `json:"key"`
-	Version uint64 `json:"version"`
+	Key     string  `json:"key"`
+	Version Version `json:"version"`
 }
 
 // Write sets or deletes one row.
@@ -48,8 +47,9 @@
 	// Scan returns all rows whose key begins with prefix, in key order.
 	Scan(ctx context.Context, prefix string) ([]Row, error)
 	// Transact applies tx and returns the version of the rows that it wrote. After an Error of
-	// kind Conflict tx was not applied; after one of kind Unavailable it may have been.
-	Transact(ctx context.Context, tx Tx) (uint64, error)
+	// kind Conflict tx was not applied; after one of kind Unavailable it may have been. A
+	// condition with a version from before a restore never holds.
+	Transact(ctx context.Context, tx Tx) (Version, error)
 }
 
 // Changes are the rows of a table that changed after a version.
@@ -60,18 +60,16 @@
 	// Removed holds the keys of the rows that were deleted.
 	Removed []string
 	// Version is the version to pass to the next call of Watch.
-	Version uint64
-	// Era is how often the store had been restored from a copy.
-	Era uint64
+	Version Version
 }
 
 // Feed reports changes to tables.
 type Feed interface {
 	// Watch returns the changes to a table since the version after. If there are none it waits
 	// for the first one, and returns no changes after at most wait. An Error of kind Expired
-	// means that the history since that version is no longer kept; the caller must read all rows
-	// again.
-	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
+	// means that the history since that version is no longer kept, or that the store was restored
+	// since; the caller must read all rows again.
+	Watch(ctx context.Context, table string, after Version, wait time.Duration) (Changes, error)
 }
 
 // Objects is the object store. Objects are immutable once stored.
--- a/internal/system/document/document.go
+++ b/internal/system/document/document.go
@@ -4,7 +4,7 @@
 // A change must take effect at every node within a bounded time after the platform has
 // acknowledged it to the operator. The node therefore watches the document's row, either
 // at the platform or through another node of its failure domain, and never goes back to
-// an older version than it has installed.
+// an older version than it has installed, not even if the platform does.
 package document
 
 import (
@@ -90,14 +90,11 @@
 	// confirmed that the installed settings are current; 0 before the first such answer.
 	confirmedAt atomic.Int64
 
-	mu sync.Mutex
-	// latestRow is the newest known state of the row, and rowValid whether its document
-	// is valid.
-	latestRow platform.Row
-	rowValid  bool
+	mu    sync.Mutex
+	known known
 	// watchAfter is the store version after which the next watch reports changes; 0 means
 	// that the row must be read first.
-	watchAfter uint64
+	watchAfter platform.Version
 	// platformLost is set when a request to the platform fails, and cleared when the
 	// platform or another node confirms the settings.
 	platformLost bool
@@ -125,7 +122,7 @@
 	m.Gauge("comfreycart_platform_era", func() float64 {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		return float64(f.latestRow.Era)
+		return float64(f.known.latest.Era())
 	})
 	return f
 }
@@ -164,6 +161,10 @@
 		err := f.Step(ctx)
 		if err == nil {
 			delay, f.lastFailure = minRetryDelay, 0
+			if !f.isConfirmable() {
+				// Other nodes may know the document that the platform has lost.
+				f.pollNodes(ctx, s)
+			}
 			continue
 		}
 		if platform.IsKind(err, platform.Expired) {
@@ -184,11 +185,15 @@
 func (f *Follower) isKnown() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.isKnownLocked()
+	return f.known.latest != 0
 }
 
-// isKnownLocked is isKnown for callers that hold f.mu.
-func (f *Follower) isKnownLocked() bool { return f.latestRow.Version != 0 }
+// isConfirmable reports whether an answer of the platform confirms the installed settings.
+func (f *Follower) isConfirmable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known.isCurrent && f.known.isSettled(f.clock.Now())
+}
 
 // isPlatformDue reports whether this node may ask the platform although other nodes answer it.
 // Requests that fail are then rare, since in an outage each node of the fleet is in that state.
@@ -218,7 +223,7 @@
 			return err
 		}
 		f.applyRow(row)
-		f.recordConfirmation(row.Version, sentAt)
+		f.continueWatch(row.Version, sentAt)
 		return nil
 	}
 	changes, err := f.store.Watch(ctx, f.Table, after, maxWatchWait)
@@ -228,7 +233,7 @@
 	if row, ok := lastState(changes.Rows, f.RowKey); ok {
 		f.applyRow(row)
 	}
-	f.recordConfirmation(max(after, changes.Version), sentAt)
+	f.continueWatch(max(after, changes.Version), sentAt)
 	return nil
 }
 
@@ -247,35 +252,34 @@
 func (f *Follower) restartWatch() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.log.Info().Uint64("row", f.latestRow.Version).Msg("watch history has expired, reading the settings again")
+	f.log.Info().Stringer("row", f.known.latest).Msg("watch history has expired, reading the settings again")
 	f.watchAfter = 0
 }
 
-// applyRow takes row as the newest one and installs its document, unless that is invalid or
-// not newer than the installed one.
+// applyRow takes a state of the row into account, and installs its document unless that is invalid
+// or not newer than the newest one known.
 func (f *Follower) applyRow(row platform.Row) {
 	view := f.compileRow(row)
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.logOrder(row, view)
-	f.latestRow, f.rowValid = row, view != nil
-	if old := f.current.View(); view != nil && (old == nil || view.Version > old.Version) {
+	if f.known.apply(row, view, f.current.View(), f.clock.Now()) {
 		f.current.Install(view)
-		f.log.Info().Uint64("version", view.Version).Uint64("row", row.Version).Uint64("era", row.Era).
+		f.log.Info().Uint64("version", view.Version).Stringer("row", row.Version).
 			Int("accounts", len(view.Accounts)).Msg("settings installed")
 	}
-	f.mu.Unlock()
 }
 
 // logOrder logs a state of the row that does not follow the one before: the store has been restored
-// from a copy, or its document is older than the installed one. The caller holds f.mu.
+// from a copy, or its document is older than the newest one known. The caller holds f.mu.
 func (f *Follower) logOrder(row platform.Row, view *settings.View) {
-	if row.Era != f.latestRow.Era && f.isKnownLocked() {
-		f.log.Warn().Uint64("era", row.Era).Uint64("row", row.Version).Uint64("previous_era", f.latestRow.Era).
-			Uint64("previous_row", f.latestRow.Version).Msg("the platform's store was restored from a copy")
+	if f.known.latest != 0 && row.Version.Era() > f.known.latest.Era() {
+		f.log.Warn().Stringer("row", row.Version).Stringer("previous_row", f.known.latest).
+			Msg("the platform's store was restored from a copy")
 	}
-	if installed := f.current.View(); view != nil && installed != nil && view.Version < installed.Version {
-		f.log.Warn().Uint64("era", row.Era).Uint64("row", row.Version).Uint64("version", view.Version).
-			Uint64("installed", installed.Version).Msg("older settings than the installed ones were read")
+	if view != nil && view.Version < f.known.newest {
+		f.log.Warn().Stringer("row", row.Version).Uint64("version", view.Version).Uint64("newest", f.known.newest).
+			Msg("older settings than the newest known ones were read")
 	}
 }
 
@@ -288,23 +292,34 @@
 	}
 	if err != nil {
 		f.invalidDocuments.Inc()
-		f.log.Error().Err(err).Uint64("row", row.Version).Msg("settings are invalid, keeping the installed version")
+		f.log.Error().Err(err).Stringer("row", row.Version).Msg("settings are invalid, keeping the installed version")
 		return nil
 	}
 	return settings.CompileDocument(document, f.Domains)
 }
 
-// recordConfirmation records that a request sent at sentAt has confirmed the latest row as
-// current, and that the next watch continues after the given store version. While the
-// latest document is invalid, the installed one is not confirmed. If the platform was lost,
-// it is logged as regained.
-func (f *Follower) recordConfirmation(after uint64, sentAt clock.Time) {
+// continueWatch makes the next watch continue after the given store version. The platform's answer
+// to a request sent at sentAt confirms the installed settings, unless the latest document is invalid
+// or older than the newest one known, or the store was restored a moment ago.
+func (f *Follower) continueWatch(after platform.Version, sentAt clock.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.watchAfter = after
-	if f.rowValid && int64(sentAt) > f.confirmedAt.Load() {
-		f.confirmedAt.Store(int64(sentAt))
+	if f.known.isCurrent && f.known.isSettled(f.clock.Now()) {
+		f.confirm(sentAt)
 	}
+	f.recordRegained()
+}
+
+// confirm records that the installed settings were current at a time.
+func (f *Follower) confirm(at clock.Time) {
+	if int64(at) > f.confirmedAt.Load() {
+		f.confirmedAt.Store(int64(at))
+	}
+}
+
+// recordRegained logs that the platform or a node in its place answers again. The caller holds f.mu.
+func (f *Follower) recordRegained() {
 	if f.platformLost {
 		f.platformLost = false
 		f.log.Info().Str("dependency", "platform").Msg("dependency regained")
--- /dev/null
+++ b/internal/system/document/order.go
@@ -0,0 +1,76 @@
+package document
+
+import (
+	"time"
+
+	"comfreycart.dev/comfreycart/internal/clock"
+	"comfreycart.dev/comfreycart/internal/platform"
+	"comfreycart.dev/comfreycart/internal/settings"
+)
+
+// restoreSettleTime is how long after a restore of the store the operators may take to write their
+// newest document again, as far as the store's document is then one that this node knows already.
+const restoreSettleTime = 2 * time.Second
+
+// known is what this node knows of the document.
+//
+// Documents are ordered by the operators' version alone, since the store may be restored from a copy:
+// its row then holds an older document until the operators have written the newest one again. The
+// states of the row are ordered by the store's version, which includes the era.
+type known struct {
+	// row holds the installed document, with the newest version of the row that held it; the
+	// version is 0 if none is installed.
+	row platform.Row
+	// newest is the version of the newest document that this node has heard of.
+	newest uint64
+	// latest is the version of the newest state of the row.
+	latest platform.Version
+	// isCurrent is set if that state holds the newest document and it is installed.
+	isCurrent bool
+	// restoredAt is when this node first heard of the present era, 0 if that was its first answer.
+	// isWrittenAgain is set once the document is known to have been written in the present era.
+	restoredAt     clock.Time
+	isWrittenAgain bool
+}
+
+// apply takes a state of the row into account and reports whether its document must be installed.
+// view is its document, nil if that is invalid, and installed the installed one, nil if there is none.
+func (k *known) apply(row platform.Row, view, installed *settings.View, now clock.Time) (install bool) {
+	switch {
+	case k.latest == 0:
+	case row.Version.Era() > k.latest.Era():
+		k.restoredAt, k.isWrittenAgain = now, false
+	case row.Version > k.latest:
+		k.isWrittenAgain = true
+	}
+	if view != nil {
+		k.newest = max(k.newest, view.Version)
+	}
+	isNewest := view != nil && view.Version == k.newest
+	install = isNewest && (installed == nil || view.Version > installed.Version)
+	if isNewest && !install && row.Version > k.row.Version && row.Version.Number() != k.row.Version.Number() {
+		// A copy leaves the numbers of its rows as they were.
+		k.isWrittenAgain = true
+	}
+	if install || isNewest && row.Version > k.row.Version {
+		k.row = row
+	}
+	if row.Version >= k.latest {
+		k.latest, k.isCurrent = row.Version, isNewest
+	}
+	return install
+}
+
+// hear takes into account that another node knows a document of the given version.
+func (k *known) hear(version uint64) {
+	if version > k.newest {
+		k.newest, k.isCurrent = version, false
+	}
+}
+
+// isSettled reports whether the store's document can be taken for the newest one. After a restore it
+// cannot before the operators have written theirs again: a document that withdraws a key may be lost
+// without any node knowing it.
+func (k *known) isSettled(now clock.Time) bool {
+	return k.restoredAt == 0 || k.isWrittenAgain || now.Sub(k.restoredAt) >= restoreSettleTime
+}
--- a/internal/system/document/relay.go
+++ b/internal/system/document/relay.go
@@ -139,13 +139,10 @@
 func (f *Follower) pollNodes(ctx context.Context, s sources) confirmation {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	f.mu.Lock()
-	known := f.latestRow.Version
-	f.mu.Unlock()
 	best := unanswered
 	for _, group := range s.groups {
 		for _, i := range rand.Perm(len(group)) {
-			best = max(best, f.pollNode(ctx, group[i], s.timeout, known))
+			best = max(best, f.pollNode(ctx, group[i], s.timeout))
 			if best == fresh {
 				return fresh
 			}
@@ -154,53 +151,84 @@
 	return best
 }
 
-// pollNode asks a node for a newer row than known and applies its answer if that is fresh. The
-// age of the node's settings is added to the time since this node sent the request.
+// pollNode asks a node for a newer document and applies its answer. The age of the node's settings is
+// added to the time since this node sent the request.
 //
 // A node that knows no document yet takes only one that was confirmed after its own start. It is
 // then at least as new as all that an earlier process of this node can have known, so that no key
 // that was refused before a restart is accepted after it.
-func (f *Follower) pollNode(ctx context.Context, node table.Member, timeout time.Duration, known uint64) confirmation {
+func (f *Follower) pollNode(ctx context.Context, node table.Member, timeout time.Duration) confirmation {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	f.readerRequests.Inc()
 	sentAt := f.clock.Now()
-	reply, err := f.peers.Follow(ctx, node.Address, &peerpb.FollowRequest{Row: known})
+	f.mu.Lock()
+	req := &peerpb.FollowRequest{Row: uint64(f.known.row.Version), Version: f.known.newest}
+	isKnown := f.known.latest != 0
+	f.mu.Unlock()
+	reply, err := f.peers.Follow(ctx, node.Address, req)
 	if err != nil {
 		f.log.Debug().Err(err).Str("address", node.Address).Msg("reading the settings from another node failed")
 		return unanswered
 	}
+	f.hear(reply.Version)
 	age := time.Duration(min(reply.AgeUs, maxReportedAgeUs)) * time.Microsecond
 	confirmed := sentAt.Add(-age)
-	if reply.Row == 0 || reply.Row < known || age > maxRelayAge || known == 0 && confirmed.Before(f.startedAt) {
+	if reply.Row == 0 || !isKnown && confirmed.Before(f.startedAt) {
 		return stale
 	}
-	if reply.Row > known {
-		if len(reply.Document) == 0 {
-			return stale
-		}
-		f.applyRow(platform.Row{Key: f.RowKey, Value: reply.Document, Version: reply.Row})
+	if len(reply.Document) > 0 {
+		f.applyRow(platform.Row{Key: f.RowKey, Value: reply.Document, Version: platform.Version(reply.Row)})
+	}
+	if age > maxRelayAge || !f.confirmFrom(reply, confirmed) {
+		return stale
 	}
-	f.recordConfirmation(reply.Row, confirmed)
 	return fresh
 }
 
+// hear records that another node knows a document of the given version.
+func (f *Follower) hear(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version > f.known.newest && f.known.latest != 0 {
+		f.log.Info().Uint64("version", version).Uint64("newest", f.known.newest).Msg("another node knows newer settings")
+	}
+	f.known.hear(version)
+}
+
+// confirmFrom records that another node has confirmed its settings at a time, and reports whether they
+// are the installed ones. A later watch at the platform continues after the row that it had then.
+func (f *Follower) confirmFrom(reply *peerpb.FollowReply, confirmed clock.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	installed := f.current.View()
+	if installed == nil || installed.Version != reply.Version || reply.Version != f.known.newest {
+		return false
+	}
+	f.watchAfter = max(f.watchAfter, platform.Version(reply.Row))
+	f.confirm(confirmed)
+	f.recordRegained()
+	return true
+}
+
 // maxReportedAgeUs caps the age that a reader reports, in microseconds, so that its
 // conversion to a time.Duration cannot overflow: one hour.
 const maxReportedAgeUs = 3600 * 1000 * 1000
 
-// HandleFollow returns the version of the newest known row and the age of the settings to
-// another node, and the document if the row is newer than the requester's. It implements
-// peer.DocumentSource.
+// HandleFollow returns the version and the age of this node's settings to another node, and the
+// document if it or its row is newer than the requester's. It implements peer.DocumentSource.
 func (f *Follower) HandleFollow(_ context.Context, req *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
-	// The confirmation time is read before the row. The row is then at least as new as the
-	// one that was confirmed, so the confirmation is not attributed to an older row.
+	f.hear(req.Version)
+	// The confirmation time is read before the document. The document is then at least as new as
+	// the one that was confirmed, so the confirmation is not attributed to an older one.
 	confirmed := clock.Time(f.confirmedAt.Load())
 	f.mu.Lock()
-	row := f.latestRow
+	row, newest := f.known.row, f.known.newest
 	f.mu.Unlock()
-	reply := &peerpb.FollowReply{Row: row.Version, AgeUs: uint64(f.clock.Now().Sub(confirmed).Microseconds())}
-	if row.Version > req.Row {
+	reply := &peerpb.FollowReply{
+		Row: uint64(row.Version), Version: newest, AgeUs: uint64(f.clock.Now().Sub(confirmed).Microseconds()),
+	}
+	if uint64(row.Version) > req.Row || newest > req.Version {
 		reply.Document = row.Value
 	}
 	return reply, nil
--- a/internal/system/document/relay_test.go
+++ b/internal/system/document/relay_test.go
@@ -119,7 +119,7 @@
 	return s.Store.Get(ctx, key)
 }
 
-func (s turnAwayStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+func (s turnAwayStore) Watch(ctx context.Context, table string, after platform.Version, wait time.Duration) (platform.Changes, error) {
 	if s.turnedAway.Load() {
 		return platform.Changes{}, &platform.Error{Kind: platform.Unavailable, Op: "watch table"}
 	}
--- a/internal/system/lease/lease_test.go
+++ b/internal/system/lease/lease_test.go
@@ -29,7 +29,7 @@
 	delayed                  []func()
 }
 
-func (s *faultyStore) Transact(ctx context.Context, tx platform.Tx) (uint64, error) {
+func (s *faultyStore) Transact(ctx context.Context, tx platform.Tx) (platform.Version, error) {
 	unavailable := &platform.Error{Kind: platform.Unavailable, Op: "transact"}
 	if s.delayWrites {
 		s.delayed = append(s.delayed, func() { _, _ = s.Store.Transact(ctx, tx) })
@@ -67,7 +67,7 @@
 	return s.Store.Get(ctx, key)
 }
 
-func (s *nodeStore) Transact(ctx context.Context, tx platform.Tx) (uint64, error) {
+func (s *nodeStore) Transact(ctx context.Context, tx platform.Tx) (platform.Version, error) {
 	if s.fleet.turnedAway[s.id] {
 		return 0, &platform.Error{Kind: platform.Unavailable, Op: "transact"}
 	}
--- a/internal/system/lease/row.go
+++ b/internal/system/lease/row.go
@@ -26,7 +26,7 @@
 // heldLease is this node's lease.
 type heldLease struct {
 	// version is the version of the row.
-	version uint64
+	version platform.Version
 	epoch   uint64
 	// first is set if there was no holder before.
 	first bool
@@ -45,7 +45,7 @@
 type observation struct {
 	// version is the last version seen, since when it was first seen. holder and incarnation
 	// are the holder that it names.
-	version     uint64
+	version     platform.Version
 	since       clock.Time
 	holder      string
 	incarnation uint64
@@ -68,7 +68,7 @@
 	if err := json.Unmarshal(old.Value, &r); err != nil {
 		// The row was written by something else and names no holder. Its version still
 		// serves as the condition of the next write.
-		m.log.Error().Err(err).Uint64("row", old.Version).Msg("lease row cannot be decoded")
+		m.log.Error().Err(err).Stringer("row", old.Version).Msg("lease row cannot be decoded")
 		r = row{}
 	}
 	stopped, ok := m.holderStopped(old, r)
@@ -133,7 +133,7 @@
 
 // write writes the row on condition that it still has the given version, 0 for a row that
 // does not exist, and makes next this node's lease.
-func (m *Manager) write(ctx context.Context, version uint64, next heldLease) error {
+func (m *Manager) write(ctx context.Context, version platform.Version, next heldLease) error {
 	m.mu.Lock()
 	if m.unconfirmedSince == 0 {
 		m.unconfirmedSince = next.renewed
@@ -151,14 +151,14 @@
 // resolveWrite reads the row after a write that failed or whose reply was lost, and sets
 // this node's lease accordingly. A row written by this node may come from an earlier write
 // that was applied late, so the term counts from the earliest unconfirmed write.
-func (m *Manager) resolveWrite(ctx context.Context, version uint64, next heldLease, cause error) error {
+func (m *Manager) resolveWrite(ctx context.Context, version platform.Version, next heldLease, cause error) error {
 	stored, err := m.store.Get(ctx, m.key())
 	if err != nil {
 		return errors.Join(cause, err)
 	}
 	var r row
 	if err := json.Unmarshal(stored.Value, &r); err != nil {
-		m.log.Error().Err(err).Uint64("row", stored.Version).Msg("lease row cannot be decoded")
+		m.log.Error().Err(err).Stringer("row", stored.Version).Msg("lease row cannot be decoded")
 	}
 	if r.Node != m.self.ID || r.Incarnation != m.self.Incarnation || r.Released {
 		m.dropLease("another node holds it")
@@ -191,7 +191,7 @@
 
 // transact writes a row on condition that it has the given version, and returns its new
 // version.
-func (m *Manager) transact(ctx context.Context, version uint64, r row) (uint64, error) {
+func (m *Manager) transact(ctx context.Context, version platform.Version, r row) (platform.Version, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return 0, err
--- a/internal/system/membership/fleet_test.go
+++ b/internal/system/membership/fleet_test.go
@@ -70,7 +70,7 @@
 // unavailableStore is a platform whose requests all fail.
 type unavailableStore struct{ platform.Store }
 
-func (unavailableStore) Transact(context.Context, platform.Tx) (uint64, error) {
+func (unavailableStore) Transact(context.Context, platform.Tx) (platform.Version, error) {
 	return 0, &platform.Error{Kind: platform.Unavailable}
 }
 
--- a/internal/system/membership/rows_test.go
+++ b/internal/system/membership/rows_test.go
@@ -41,7 +41,7 @@
 	return r, nil
 }
 
-func (s *fakeStore) Transact(_ context.Context, tx platform.Tx) (uint64, error) {
+func (s *fakeStore) Transact(_ context.Context, tx platform.Tx) (platform.Version, error) {
 	s.transactions++
 	if s.beforeCommit != nil {
 		s.beforeCommit()
--- a/internal/system/settingsync/accept.go
+++ b/internal/system/settingsync/accept.go
@@ -92,7 +92,7 @@
 	head Head
 	// headRowVersion is the version that the platform gives the head row, unlike the
 	// settings version in head; 0 if there is no such row.
-	headRowVersion uint64
+	headRowVersion platform.Version
 	tree           *settings.Tree
 	objects        map[string][]byte
 }
--- a/internal/system/settingsync/commit.go
+++ b/internal/system/settingsync/commit.go
@@ -91,7 +91,7 @@
 
 // getRow decodes a row into out and returns the row's version. For a row that does not
 // exist, it leaves out unchanged and returns version 0.
-func (a *commitAttempt) getRow(ctx context.Context, key string, out any) (uint64, error) {
+func (a *commitAttempt) getRow(ctx context.Context, key string, out any) (platform.Version, error) {
 	row, err := a.acceptor.store.Get(ctx, key)
 	if platform.IsKind(err, platform.NotFound) {
 		return 0, nil
@@ -138,7 +138,7 @@
 
 // transaction returns the transaction that replaces the head row if it still has the
 // given version, records the change, and deletes the record of the evicted change.
-func (a *commitAttempt) transaction(next Head, headRowVersion uint64, evicted string) platform.Tx {
+func (a *commitAttempt) transaction(next Head, headRowVersion platform.Version, evicted string) platform.Tx {
 	head := headKey(a.acceptor.deployment)
 	change := a.changeKey(a.change.ID)
 	tx := platform.Tx{
--- a/internal/system/settingsync/follower.go
+++ b/internal/system/settingsync/follower.go
@@ -296,7 +296,7 @@
 
 // readHead returns the content of the head row and the row's version. If the row does not
 // exist, it returns a platform error of kind NotFound.
-func readHead(ctx context.Context, t platform.Table, deployment string) (Head, uint64, error) {
+func readHead(ctx context.Context, t platform.Table, deployment string) (Head, platform.Version, error) {
 	row, err := t.Get(ctx, headKey(deployment))
 	if err != nil {
 		return Head{}, 0, err
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -48,6 +48,8 @@
 	Value   []byte `json:"value,omitempty"`
 	Ver     uint64 `json:"ver"`
 	Removed bool   `json:"removed,omitempty"`
+
+	writtenAt time.Time
 }
 
 // Server is the stand-in. It is safe for concurrent use.
@@ -59,6 +61,8 @@
 	objects   map[string][]byte
 	faults    Faults
 	version   uint64
+	// era counts the restores; it is stated in each answer.
+	era uint64
 	// forgottenVersion is the newest version whose history was dropped. Feeds that ask for
 	// changes after an older version are answered 410.
 	forgottenVersion uint64
@@ -76,13 +80,93 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /control", s.control)
+	mux.HandleFunc("POST /restore", s.restore)
 	mux.HandleFunc("GET /counts", s.getCounts)
 	mux.HandleFunc("GET /comfreycart/rows-get", s.withFaults(s.getRows))
 	mux.HandleFunc("GET /comfreycart/rows-feed", s.feed)
 	mux.HandleFunc("POST /comfreycart/rows-tx", s.withFaults(s.transact))
 	mux.HandleFunc("PUT /comfreycart/blob-put/{name}", s.withFaults(s.putObject))
 	mux.HandleFunc("GET /comfreycart/blob-get/{name}", s.withFaults(s.getObject))
-	return mux
+	return s.withEra(mux)
+}
+
+// headerEra states how often the store was restored from a copy.
+const headerEra = "Store-Era"
+
+// withEra states the era in the answers of h. An answer that was begun before a restore states the
+// era before it.
+func (s *Server) withEra(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(&eraWriter{ResponseWriter: w, server: s}, r)
+	})
+}
+
+// eraWriter adds the era to an answer when its header is written.
+type eraWriter struct {
+	http.ResponseWriter
+	server    *Server
+	hasHeader bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	if !w.hasHeader {
+		w.hasHeader = true
+		w.server.mu.Lock()
+		era := w.server.era
+		w.server.mu.Unlock()
+		w.Header().Set(headerEra, strconv.FormatUint(era, 10))
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(data []byte) (int, error) {
+	if !w.hasHeader {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(data)
+}
+
+// Restore replaces the tables by a copy of the given age, as after a disaster, and returns the rows
+// that were written since in their last state. Their versions are given out again.
+func (s *Server) Restore(age time.Duration) (lost []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copiedAt := time.Now().Add(-age)
+	kept := sort.Search(len(s.history), func(i int) bool { return s.history[i].writtenAt.After(copiedAt) })
+	last := map[RowName]Row{}
+	for _, row := range s.history[kept:] {
+		last[row.RowName] = row
+	}
+	for _, row := range last {
+		lost = append(lost, row)
+	}
+	s.history, s.rows, s.version = s.history[:kept:kept], map[RowName]Row{}, 0
+	for _, row := range s.history {
+		s.rows[row.RowName], s.version = row, row.Ver
+	}
+	s.era++
+	return lost
+}
+
+// operatorTable is the table whose rows the operators write again after a restore.
+const operatorTable = "op"
+
+// restore serves POST /restore?ageMs=N: it restores a copy of that age and writes the operators' rows
+// again.
+func (s *Server) restore(w http.ResponseWriter, r *http.Request) {
+	ageMs, err := strconv.Atoi(r.URL.Query().Get("ageMs"))
+	if err != nil || ageMs < 0 {
+		http.Error(w, "ageMs: want a number of milliseconds", http.StatusBadRequest)
+		return
+	}
+	for _, row := range s.Restore(time.Duration(ageMs) * time.Millisecond) {
+		if row.Table == operatorTable {
+			s.Put(row.RowName, row.Value)
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
 }
 
 func (s *Server) control(w http.ResponseWriter, r *http.Request) {
@@ -212,7 +296,7 @@
 			return
 		}
 		s.mu.Lock()
-		out, isForgotten := s.changesSince(q.Get("table"), after), after < s.forgottenVersion
+		out, isForgotten := s.changesSince(q.Get("table"), after), after < s.forgottenVersion || after > s.version
 		s.mu.Unlock()
 		if isForgotten {
 			w.WriteHeader(http.StatusGone)
@@ -239,6 +323,7 @@
 
 // setRow writes a row and appends the change to the history, which feeds read.
 func (s *Server) setRow(row Row) {
+	row.writtenAt = time.Now()
 	s.rows[row.RowName] = row
 	s.history = append(s.history, row)
 }
