A lease has one holder when the store comes back from a copy

Two nodes of a failure domain could grant the same tokens for up to a term: a copy of the lease's row names a holder that had released it or ended since, so that the candidate took it at once, while the holder that the copy does not know went on until its next renewal. A live holder lost its lease to the copy, and the domain had no tokens to grant until a new one had it.

The fix: the row says in which era it was written. Nothing but a whole term's wait counts against a row from a copy, and the holder writes its row again.

--- a/internal/system/lease/lease.go
+++ b/internal/system/lease/lease.go
@@ -10,6 +10,10 @@
 // A successor takes the lease over once the row has not changed for a whole term. It need
 // not wait if the holder released the lease, or if a newer incarnation of the holder
 // proves that the earlier process has ended.
+//
+// If the store is restored from a copy, the row goes back to an earlier state. The holder writes it
+// again. Until it has, nothing that the row says of its holder counts, and a successor waits for a
+// whole term.
 package lease
 
 import (
--- a/internal/system/lease/lease_test.go
+++ b/internal/system/lease/lease_test.go
@@ -46,6 +46,7 @@
 type fleet struct {
 	t        *testing.T
 	clock    *clock.Fake
+	server   *standin.Server
 	store    *faultyStore
 	members  *table.Members
 	managers map[string]*Manager
@@ -97,12 +98,13 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	server := httptest.NewServer(standin.New().Handler())
+	platformServer := standin.New()
+	server := httptest.NewServer(platformServer.Handler())
 	t.Cleanup(server.Close)
 	clk := &clock.Fake{}
 	clk.Advance(time.Hour)
 	return &fleet{
-		t: t, clock: clk, store: &faultyStore{Store: adapter.NewStore(server.URL, time.Second)},
+		t: t, clock: clk, server: platformServer, store: &faultyStore{Store: adapter.NewStore(server.URL, time.Second)},
 		members: table.NewMembers(clk, table.NewEndpoints(clk)), managers: map[string]*Manager{},
 		turnedAway: map[string]bool{},
 	}
--- a/internal/system/lease/row.go
+++ b/internal/system/lease/row.go
@@ -14,8 +14,10 @@
 type row struct {
 	Node        string `json:"node"`
 	Incarnation uint64 `json:"incarnation"`
-	// Epoch increases by one each time a node takes the lease.
+	// Epoch increases each time a node takes the lease.
 	Epoch uint64 `json:"epoch"`
+	// Era is the store's era in which the row was written, 0 if the writer did not know it.
+	Era uint64 `json:"era,omitempty"`
 	// Released is set once the holder has released the lease. BucketStates are then the
 	// states of its buckets, by account; an account that is missing was never spent
 	// from. It is nil if the holder had no bucket or too many to store.
@@ -23,6 +25,10 @@
 	BucketStates map[string]escrow.BucketState `json:"estates,omitempty"`
 }
 
+// isFromCopy reports whether a row, read with the given version, was written before the store was
+// restored. What happened to the lease since then is lost: another node may have taken it.
+func (r *row) isFromCopy(version platform.Version) bool { return r.Era < version.Era() }
+
 // heldLease is this node's lease.
 type heldLease struct {
 	// version is the version of the row.
@@ -71,20 +77,39 @@
 		m.log.Error().Err(err).Stringer("row", old.Version).Msg("lease row cannot be decoded")
 		r = row{}
 	}
-	stopped, ok := m.holderStopped(old, r)
-	if !ok && m.askToYield(ctx, &r) {
-		stopped, ok = m.clock.Now(), true
-	}
+	stopped, ok := m.predecessorStopped(ctx, old, &r)
 	if !ok {
 		return nil
 	}
-	next := heldLease{epoch: r.Epoch + 1, predecessorStopped: stopped, renewed: sent, expiry: sent.Add(Term)}
-	if r.Released && r.BucketStates != nil {
+	next := heldLease{epoch: m.nextEpoch(r.Epoch), predecessorStopped: stopped, renewed: sent, expiry: sent.Add(Term)}
+	if r.Released && r.BucketStates != nil && !r.isFromCopy(old.Version) {
 		next.hasStates, next.bucketStates = true, r.BucketStates
 	}
 	return m.write(ctx, old.Version, next)
 }
 
+// nextEpoch returns the epoch after that of the row. A copy may name one that this node has already
+// promised not to act under.
+func (m *Manager) nextEpoch(stored uint64) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(stored, m.yieldedEpoch) + 1
+}
+
+// predecessorStopped returns a time by which all earlier holders have certainly stopped acting, false
+// if one may still act. It may ask the holder to yield and records the reply in r. If the row is from
+// a copy, an unknown holder is waited for.
+func (m *Manager) predecessorStopped(ctx context.Context, old platform.Row, r *row) (clock.Time, bool) {
+	if r.isFromCopy(old.Version) {
+		return m.observeRow(old, *r)
+	}
+	stopped, ok := m.holderStopped(old, *r)
+	if !ok && m.askToYield(ctx, r) {
+		return m.clock.Now(), true
+	}
+	return stopped, ok
+}
+
 // holderStopped returns a time by which the holder named in a row has certainly stopped
 // acting, false if it may still act.
 func (m *Manager) holderStopped(old platform.Row, r row) (clock.Time, bool) {
@@ -99,6 +124,13 @@
 		// The holder's process had ended when its successor's record arrived here.
 		return min(now, member.ChangedAt), true
 	}
+	return m.observeRow(old, r)
+}
+
+// observeRow returns a time by which the term of any holder has ended, false if the row has not been
+// unchanged for long enough.
+func (m *Manager) observeRow(old platform.Row, r row) (clock.Time, bool) {
+	now := m.clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.observed.version != old.Version {
@@ -150,15 +182,22 @@
 
 // resolveWrite reads the row after a write that failed or whose reply was lost, and sets
 // this node's lease accordingly. A row written by this node may come from an earlier write
-// that was applied late, so the term counts from the earliest unconfirmed write.
+// that was applied late, so the term counts from the earliest unconfirmed write. If the store was
+// restored from a copy, the holder writes its lease again.
 func (m *Manager) resolveWrite(ctx context.Context, version platform.Version, next heldLease, cause error) error {
 	stored, err := m.store.Get(ctx, m.key())
-	if err != nil {
+	isMissing := platform.IsKind(err, platform.NotFound)
+	if err != nil && !(isMissing && m.isHolding()) {
 		return errors.Join(cause, err)
 	}
 	var r row
-	if err := json.Unmarshal(stored.Value, &r); err != nil {
-		m.log.Error().Err(err).Stringer("row", stored.Version).Msg("lease row cannot be decoded")
+	if !isMissing {
+		if err := json.Unmarshal(stored.Value, &r); err != nil {
+			m.log.Error().Err(err).Stringer("row", stored.Version).Msg("lease row cannot be decoded")
+		}
+	}
+	if isMissing || r.isFromCopy(stored.Version) {
+		return m.rewriteHeld(ctx, stored.Version, r)
 	}
 	if r.Node != m.self.ID || r.Incarnation != m.self.Incarnation || r.Released {
 		m.dropLease("another node holds it")
@@ -175,6 +214,37 @@
 	return nil
 }
 
+// isHolding reports whether this node has a lease, which may have ended.
+func (m *Manager) isHolding() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held != nil
+}
+
+// rewriteHeld writes the row again that the store has lost, as far as this node still holds the lease:
+// nobody else takes it before its term has ended. version is that of the copy's row, 0 if the copy has
+// none. The copy may be newer than this node's lease.
+func (m *Manager) rewriteHeld(ctx context.Context, version platform.Version, copied row) error {
+	now := m.clock.Now()
+	m.mu.Lock()
+	held := m.held
+	m.mu.Unlock()
+	isOwn := copied.Node == m.self.ID && copied.Incarnation == m.self.Incarnation
+	if held == nil || !now.Before(held.expiry) || copied.Epoch > held.epoch || copied.Epoch == held.epoch && !isOwn {
+		m.dropLease("the store was restored from a copy")
+		return nil
+	}
+	written, err := m.transact(ctx, version, row{Node: m.self.ID, Incarnation: m.self.Incarnation, Epoch: held.epoch})
+	if err != nil {
+		return err
+	}
+	m.log.Info().Str("lease", m.key()).Uint64("epoch", held.epoch).Stringer("row", written).Msg("lease written again after a restore")
+	next := *held
+	next.version, next.renewed, next.expiry = written, now, now.Add(Term)
+	m.setHeld(next)
+	return nil
+}
+
 // setHeld makes next this node's lease. Its row is known, so no write is unconfirmed.
 func (m *Manager) setHeld(next heldLease) {
 	m.mu.Lock()
@@ -190,8 +260,9 @@
 }
 
 // transact writes a row on condition that it has the given version, and returns its new
-// version.
+// version. The row's era is that of the condition.
 func (m *Manager) transact(ctx context.Context, version platform.Version, r row) (platform.Version, error) {
+	r.Era = version.Era()
 	value, err := json.Marshal(r)
 	if err != nil {
 		return 0, err
--- a/internal/system/lease/yield_test.go
+++ b/internal/system/lease/yield_test.go
@@ -101,7 +101,7 @@
 }
 
 // Random schedules: nodes are turned away by the store and served again, renewals are applied
-// late, nodes die and start again. At most one node acts at any time (checked by advance), and
+// late, nodes die and start again, and the store is restored from copies. At most one node acts at any time (checked by advance), and
 // the domain has a holder once all is well for a term.
 func TestOneHolderInRandomSchedules(t *testing.T) {
 	for seed := range uint64(60) {
@@ -114,9 +114,10 @@
 			f.add(id, incarnation)
 		}
 		f.advance(time.Second)
+		first := f.server.Version()
 		for range 40 {
 			id := ids[rng.IntN(len(ids))]
-			switch rng.IntN(6) {
+			switch rng.IntN(7) {
 			case 0, 1:
 				f.turnedAway[id] = !f.turnedAway[id]
 			case 2:
@@ -132,6 +133,8 @@
 				f.add(id, incarnation)
 			case 5:
 				f.store.dropReplies = !f.store.dropReplies
+			case 6:
+				f.server.RestoreTo(first + rng.Uint64N(f.server.Version()-first+1))
 			}
 			f.advance(time.Duration(1+rng.IntN(8)) * 250 * time.Millisecond)
 		}
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -128,13 +128,32 @@
 	return w.ResponseWriter.Write(data)
 }
 
-// Restore replaces the tables by a copy of the given age, as after a disaster, and returns the rows
-// that were written since in their last state. Their versions are given out again.
+// Version returns the version of the newest transaction.
+func (s *Server) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// Restore replaces the tables by a copy of the given age, as RestoreTo does.
 func (s *Server) Restore(age time.Duration) (lost []Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	copiedAt := time.Now().Add(-age)
-	kept := sort.Search(len(s.history), func(i int) bool { return s.history[i].writtenAt.After(copiedAt) })
+	return s.cutHistory(func(row Row) bool { return !row.writtenAt.After(copiedAt) })
+}
+
+// RestoreTo replaces the tables by a copy made at the given version, and returns the rows that were
+// written since in their last state. Their versions are given out again.
+func (s *Server) RestoreTo(version uint64) (lost []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cutHistory(func(row Row) bool { return row.Ver <= version })
+}
+
+// cutHistory undoes all transactions after those that isKept is true for, and begins the next era.
+func (s *Server) cutHistory(isKept func(Row) bool) (lost []Row) {
+	kept := sort.Search(len(s.history), func(i int) bool { return !isKept(s.history[i]) })
 	last := map[RowName]Row{}
 	for _, row := range s.history[kept:] {
 		last[row.RowName] = row
