A node that starts after a restore waits for the operators' newest document

Nothing promises that: if all nodes end together with the store, none knows what the copy lacks, and a node that starts would have accepted keys withdrawn since. Members that had registered after the copy was made could not be found by nodes that start.

Cause: a first read of the store counted as a confirmation, whatever had happened to the store.

The fix: a first read confirms only once the era is settled: the document's row has been written in it, two seconds have passed, another node confirms it, or a member's row says that its writer found it settled. Members write their rows again after a restore. The test's harness vouches for the first era, which the tests before took for granted.

--- a/internal/node/mesh.go
+++ b/internal/node/mesh.go
@@ -84,6 +84,7 @@
 	if err := m.listen(ctx); err != nil {
 		return err
 	}
+	m.Follower.OnRestore(m.Membership.RegisterAgain)
 	m.wg.Go(func() { m.Follower.Run(ctx) })
 	m.wg.Go(func() { m.Finder.Run(ctx) })
 	m.wg.Go(func() { m.Membership.Run(ctx) })
--- a/internal/node/provide_mesh.go
+++ b/internal/node/provide_mesh.go
@@ -55,9 +55,9 @@
 	return dispatch.Self{ID: c.ID, Domain: c.Domain, Incarnation: max(now, rows.PreviousIncarnation+1)}
 }
 
-func provideMeshMembershipOptions(c *config.Node, self dispatch.Self, rows membership.StartRows) membership.Options {
+func provideMeshMembershipOptions(c *config.Node, self dispatch.Self, rows membership.StartRows, f *document.Follower) membership.Options {
 	o := provideMembershipOptions(c, self)
-	o.StartRows = rows
+	o.StartRows, o.Eras = rows, f
 	return o
 }
 
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -120,7 +120,7 @@
 	client := peer.NewClient(boot, source, tlsConfig, memoryBudget)
 	follower := document.New(options, boot, store, current, members, client, set, logger)
 	self := provideMeshSelf(c, startRows)
-	membershipOptions := provideMeshMembershipOptions(c, self, startRows)
+	membershipOptions := provideMeshMembershipOptions(c, self, startRows, follower)
 	localBackends := provideLocals(c)
 	transport := membership.NewTransport(client)
 	manager := membership.New(membershipOptions, boot, members, endpoints, localBackends, transport, store, set, logger)
--- a/internal/system/document/document.go
+++ b/internal/system/document/document.go
@@ -99,6 +99,9 @@
 	// platform or another node confirms the settings.
 	platformLost bool
 
+	// restored is called when the store has been restored; nil if nothing is to be called.
+	restored func()
+
 	// lastFailure is when the last request to the platform failed, 0 if it succeeded. Only
 	// Run uses it.
 	lastFailure clock.Time
@@ -219,6 +222,9 @@
 	f.mu.Unlock()
 	if after == 0 {
 		row, err := f.store.Get(ctx, f.RowKey)
+		if platform.IsKind(err, platform.NotFound) {
+			f.recordMissing()
+		}
 		if err != nil {
 			return err
 		}
@@ -237,6 +243,35 @@
 	return nil
 }
 
+// recordMissing records that there is no document, so that one that is found later has been written
+// since.
+func (f *Follower) recordMissing() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.known.latest == 0 {
+		f.known.isWritten = true
+	}
+}
+
+// VouchForEra tells the follower that another node has found an era of the store settled: the
+// operators have written their newest document in it.
+func (f *Follower) VouchForEra(era uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known.settledEra, f.known.hasSettledEra = era, true
+}
+
+// SettledEra returns the present era of the store, false unless this node has found it settled.
+func (f *Follower) SettledEra() (era uint64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known.latest.Era(), f.known.isSettled(f.clock.Now())
+}
+
+// OnRestore sets a function that is called when the store has been restored from a copy. It must not
+// block. Call OnRestore before Run.
+func (f *Follower) OnRestore(restored func()) { f.restored = restored }
+
 // lastState returns the last state of a row among the changed rows. Earlier states are
 // outdated already and must not be confirmed as current.
 func lastState(rows []platform.Row, key string) (platform.Row, bool) {
@@ -262,7 +297,7 @@
 	view := f.compileRow(row)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.logOrder(row, view)
+	f.checkOrder(row, view)
 	if f.known.apply(row, view, f.current.View(), f.clock.Now()) {
 		f.current.Install(view)
 		f.log.Info().Uint64("version", view.Version).Stringer("row", row.Version).
@@ -270,12 +305,15 @@
 	}
 }
 
-// logOrder logs a state of the row that does not follow the one before: the store has been restored
-// from a copy, or its document is older than the newest one known. The caller holds f.mu.
-func (f *Follower) logOrder(row platform.Row, view *settings.View) {
+// checkOrder reports and logs a state of the row that does not follow the one before: the store has
+// been restored from a copy, or its document is older than the newest one known. The caller holds f.mu.
+func (f *Follower) checkOrder(row platform.Row, view *settings.View) {
 	if f.known.latest != 0 && row.Version.Era() > f.known.latest.Era() {
 		f.log.Warn().Stringer("row", row.Version).Stringer("previous_row", f.known.latest).
 			Msg("the platform's store was restored from a copy")
+		if f.restored != nil {
+			f.restored()
+		}
 	}
 	if view != nil && view.Version < f.known.newest {
 		f.log.Warn().Stringer("row", row.Version).Uint64("version", view.Version).Uint64("newest", f.known.newest).
--- a/internal/system/document/document_test.go
+++ b/internal/system/document/document_test.go
@@ -65,7 +65,9 @@
 		Table: adapter.OperatorTable, RowKey: adapter.OperatorRow, Decode: adapter.DecodeDocument,
 		Domains: []string{"a"}, KeyStaleness: 5 * time.Second, ID: id, Domain: "a",
 	}
-	return New(o, h.clock, adapter.NewStore(h.url, time.Second), cur, h.members, h, metric.NewSet(), zerolog.Nop())
+	f := New(o, h.clock, adapter.NewStore(h.url, time.Second), cur, h.members, h, metric.NewSet(), zerolog.Nop())
+	f.VouchForEra(0)
+	return f
 }
 
 // addMember adds an alive member of a failure domain; lower incarnations have started earlier.
--- a/internal/system/document/order.go
+++ b/internal/system/document/order.go
@@ -9,7 +9,7 @@
 )
 
 // restoreSettleTime is how long after a restore of the store the operators may take to write their
-// newest document again, as far as the store's document is then one that this node knows already.
+// newest document again.
 const restoreSettleTime = 2 * time.Second
 
 // known is what this node knows of the document.
@@ -27,10 +27,13 @@
 	latest platform.Version
 	// isCurrent is set if that state holds the newest document and it is installed.
 	isCurrent bool
-	// restoredAt is when this node first heard of the present era, 0 if that was its first answer.
-	// isWrittenAgain is set once the document is known to have been written in the present era.
-	restoredAt     clock.Time
-	isWrittenAgain bool
+	// eraSeenAt is when this node first heard of the present era.
+	eraSeenAt clock.Time
+	// isWritten is set once the document is known to have been written in the present era.
+	isWritten bool
+	// settledEra is an era that another node has found settled, if hasSettledEra is set.
+	settledEra    uint64
+	hasSettledEra bool
 }
 
 // apply takes a state of the row into account and reports whether its document must be installed.
@@ -38,10 +41,11 @@
 func (k *known) apply(row platform.Row, view, installed *settings.View, now clock.Time) (install bool) {
 	switch {
 	case k.latest == 0:
+		k.eraSeenAt = now
 	case row.Version.Era() > k.latest.Era():
-		k.restoredAt, k.isWrittenAgain = now, false
+		k.eraSeenAt, k.isWritten = now, false
 	case row.Version > k.latest:
-		k.isWrittenAgain = true
+		k.isWritten = true
 	}
 	if view != nil {
 		k.newest = max(k.newest, view.Version)
@@ -50,7 +54,7 @@
 	install = isNewest && (installed == nil || view.Version > installed.Version)
 	if isNewest && !install && row.Version > k.row.Version && row.Version.Number() != k.row.Version.Number() {
 		// A copy leaves the numbers of its rows as they were.
-		k.isWrittenAgain = true
+		k.isWritten = true
 	}
 	if install || isNewest && row.Version > k.row.Version {
 		k.row = row
@@ -68,9 +72,9 @@
 	}
 }
 
-// isSettled reports whether the store's document can be taken for the newest one. After a restore it
-// cannot before the operators have written theirs again: a document that withdraws a key may be lost
-// without any node knowing it.
+// isSettled reports whether the store's document can be taken for the newest one. In an era that may
+// have begun a moment ago it cannot before the operators have written theirs again: a document that
+// withdraws a key may be lost without any node knowing it.
 func (k *known) isSettled(now clock.Time) bool {
-	return k.restoredAt == 0 || k.isWrittenAgain || now.Sub(k.restoredAt) >= restoreSettleTime
+	return k.latest != 0 && (k.isWritten || k.hasSettledEra && k.settledEra == k.latest.Era() || now.Sub(k.eraSeenAt) >= restoreSettleTime)
 }
--- a/internal/system/document/relay_test.go
+++ b/internal/system/document/relay_test.go
@@ -157,6 +157,7 @@
 		m.turnedAway[id] = &atomic.Bool{}
 		store := turnAwayStore{adapter.NewStore(server.URL, time.Second), m.turnedAway[id]}
 		m.followers[id] = New(o, clock.Boot{}, store, &settingsync.Current{}, members, m, metric.NewSet(), zerolog.Nop())
+		m.followers[id].VouchForEra(0)
 	}
 	for _, f := range m.followers {
 		go f.Run(t.Context())
--- a/internal/system/document/restore_test.go
+++ b/internal/system/document/restore_test.go
@@ -189,3 +189,24 @@
 	require.False(t, apply(2, 41, 16))
 	require.True(t, k.isCurrent)
 }
+
+// All nodes have ended together with the store, and the copy lacks a withdrawal.
+func TestNodeThatStartsAfterARestoreWaitsForTheOperatorsDocument(t *testing.T) {
+	h := newHarness(t)
+	h.putDocument(3, `"k1","k2"`)
+	copied := takeCopy()
+	h.putDocument(5, `"k1"`)
+	h.loseSince(copied)
+	require.NoError(t, h.Step(t.Context()), "the members' rows in the copy vouch for the era before")
+	require.NotNil(t, h.Fresh())
+	h.clock.Advance(restoreSettleTime / 2)
+	h.putDocument(5, `"k1"`)
+	require.NoError(t, h.Step(t.Context()))
+	require.Equal(t, uint64(5), h.view().Version)
+	require.Nil(t, h.Fresh())
+
+	vouched := h.newFollower("n2", &settingsync.Current{})
+	vouched.VouchForEra(1)
+	require.NoError(t, vouched.Step(t.Context()))
+	require.Nil(t, vouched.Fresh(), "another node has found the era settled")
+}
--- a/internal/system/membership/membership.go
+++ b/internal/system/membership/membership.go
@@ -52,6 +52,13 @@
 	// registerDelay is how long this node waits at its start before it writes its row.
 	registerDelay time.Duration
 
+	eras EraSource
+	// restored holds a value after a restore of the store.
+	restored chan struct{}
+	// registeredEra is the settled era that this node's row states, nil if none. It is used only
+	// by the goroutine of maintainRows.
+	registeredEra *uint64
+
 	// lastCleanTurn maps a member's ID to the turn in which this node last tried to delete
 	// its row; see isCleaner. It is used only by the goroutine of maintainRows.
 	lastCleanTurn map[string]int
@@ -68,20 +75,35 @@
 	// StartRows is what was read from the members' rows at the start; empty if they were not
 	// read.
 	StartRows StartRows
+	// Eras is nil if the store is never restored.
+	Eras EraSource
 }
 
+// neverRestored is the EraSource of a store that is never restored.
+type neverRestored struct{}
+
+// SettledEra implements EraSource.
+func (neverRestored) SettledEra() (uint64, bool) { return 0, true }
+
+// VouchForEra implements EraSource.
+func (neverRestored) VouchForEra(uint64) {}
+
 // New returns a manager; Run joins the other members. The manager's gauges are added to set.
 func New(o Options, c clock.Clock, members *table.Members, endpoints *table.Endpoints, locals *table.LocalBackends,
 	t Transport, store platform.Store, set *metric.Set, log zerolog.Logger) *Manager {
 	m := &Manager{
 		self: o.Self, address: o.Address, deployment: o.Deployment, clock: c, members: members,
 		endpoints: endpoints, locals: locals, transport: t, store: store, log: log,
-		lastCleanTurn: map[string]int{}, registerDelay: o.StartRows.registerDelay(o.Address),
+		lastCleanTurn: map[string]int{}, eras: neverRestored{}, restored: make(chan struct{}, 1), registerDelay: o.StartRows.registerDelay(o.Address),
 		machine: gossip.New(gossip.Config{
 			ID: o.Self.ID, Incarnation: o.Self.Incarnation, Address: o.Address, Domain: o.Self.Domain,
 			Contacts: slices.Concat(o.Contacts, o.StartRows.Contacts),
 		}, c, members, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
+	if o.Eras != nil {
+		m.eras = o.Eras
+	}
+	m.vouch(o.StartRows)
 	m.registerGauges(set)
 	return m
 }
--- a/internal/system/membership/rows.go
+++ b/internal/system/membership/rows.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,6 +35,10 @@
 	// enoughContacts is the number of contacts with which a node joins without another read of
 	// the rows.
 	enoughContacts = 4
+	// settlePollInterval is the mean time between two checks whether the store's era has settled.
+	settlePollInterval = 500 * time.Millisecond
+	// maxSettlePolls bounds these checks, since there may be no document for a long time.
+	maxSettlePolls = 20
 	// cleanupInterval is the mean time between two searches for rows of gone members.
 	cleanupInterval = 30 * time.Second
 	// rowRetention is how long the row of a dead or left member is kept. It is longer than a
@@ -49,18 +54,30 @@
 	maxDeletionsPerCleanup = 8
 )
 
+// EraSource knows whether the store may have been restored from a copy a moment ago. It is safe for
+// concurrent use.
+type EraSource interface {
+	// SettledEra returns the present era of the store, false unless it is settled.
+	SettledEra() (era uint64, ok bool)
+	// VouchForEra tells the source that a member has found an era settled.
+	VouchForEra(era uint64)
+}
+
 // memberRow is a member's row in the platform's table. It is used only at startup.
 type memberRow struct {
 	Address     string `json:"address"`
 	Domain      string `json:"domain"`
 	Incarnation uint64 `json:"incarnation"`
+	// SettledEra is the store's era in which the row was written, if the member had found it
+	// settled.
+	SettledEra *uint64 `json:"settledEra,omitempty"`
 }
 
 func (m *Manager) rowKey(id string) string { return rowPrefix(m.deployment) + id }
 
-// maintainRows writes this node's row, announces the start to the contacts, reads other
-// members' rows while there are too few contacts or no usable member is known, and then periodically deletes the rows of
-// gone members, until ctx ends.
+// maintainRows writes this node's row, announces the start to the contacts, reads other members' rows
+// while there are too few contacts or no usable member is known, and then periodically deletes the
+// rows of gone members, until ctx ends. It writes the row again after a restore of the store.
 func (m *Manager) maintainRows(ctx context.Context) {
 	announced := m.registerDelay > 0
 	if announced {
@@ -80,16 +97,67 @@
 	if !announced {
 		m.announceStart(ctx)
 	}
-	for sleepJittered(ctx, joinRetryDelay) && m.isAlone() {
+	if m.isOldestOfDomain() {
+		m.registerEra(ctx)
+	}
+	for m.sleepUntilRestored(ctx, joinRetryDelay) && m.isAlone() {
 		if err := m.readContacts(ctx); err != nil {
 			m.log.Warn().Err(err).Msg("failed to read contacts from the platform, retrying")
 		}
 	}
-	for sleepJittered(ctx, cleanupInterval) {
+	for m.sleepUntilRestored(ctx, cleanupInterval) {
 		m.deleteStaleRows(ctx)
 	}
 }
 
+// RegisterAgain makes the manager write this node's row again, since the store was restored from a copy
+// that may lack it.
+func (m *Manager) RegisterAgain() {
+	select {
+	case m.restored <- struct{}{}:
+	default:
+	}
+}
+
+// sleepUntilRestored waits as sleepJittered does, and writes this node's row again if the store was
+// restored meanwhile. It returns false if ctx ended.
+func (m *Manager) sleepUntilRestored(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d/2 + rand.N(d)):
+	case <-m.restored:
+		if sleepJittered(ctx, time.Duration(1+m.members.Len())*registerSpacing) {
+			m.registerEra(ctx)
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// registerEra writes this node's row again once the store's era has settled, unless the row says so
+// already, so that a node which starts finds the row and need not wait for that by itself.
+func (m *Manager) registerEra(ctx context.Context) {
+	for range maxSettlePolls {
+		era, ok := m.eras.SettledEra()
+		if ok && m.registeredEra != nil && *m.registeredEra == era {
+			return
+		}
+		if ok && m.register(ctx) == nil {
+			return
+		}
+		if !sleepJittered(ctx, settlePollInterval) {
+			return
+		}
+	}
+}
+
+// isOldestOfDomain reports whether this node started first among the usable members of its failure
+// domain.
+func (m *Manager) isOldestOfDomain() bool {
+	members := m.members.UsableOldestFirst(m.self.Domain)
+	return len(members) > 0 && members[0].ID == m.self.ID
+}
+
 // sleepJittered waits for a random time from d/2 to 3d/2. It returns false if ctx ended.
 func sleepJittered(ctx context.Context, d time.Duration) bool {
 	select {
@@ -108,15 +176,21 @@
 
 // register writes this node's row.
 func (m *Manager) register(ctx context.Context) error {
-	value, err := json.Marshal(memberRow{m.address, m.self.Domain, m.self.Incarnation})
+	row := memberRow{Address: m.address, Domain: m.self.Domain, Incarnation: m.self.Incarnation}
+	if era, ok := m.eras.SettledEra(); ok {
+		row.SettledEra = &era
+	}
+	value, err := json.Marshal(row)
 	if err != nil {
 		return err
 	}
 	_, err = m.store.Transact(ctx, platform.Tx{Writes: []platform.Write{{Key: m.rowKey(m.self.ID), Value: value}}})
 	if err != nil {
 		m.log.Warn().Err(err).Msg("failed to register this node at the platform, retrying")
+		return err
 	}
-	return err
+	m.registeredEra = row.SettledEra
+	return nil
 }
 
 // StartRows is what a node learns at its start from the members' rows.
@@ -131,6 +205,8 @@
 	// number of rows.
 	OwnAddress string
 	Count      int
+	// SettledEra is the store's present era, if a member has found it settled.
+	SettledEra *uint64
 }
 
 // registerDelay returns how long a node may wait before it writes its row: until then, its
@@ -158,6 +234,9 @@
 		if json.Unmarshal(row.Value, &member) != nil {
 			continue
 		}
+		if member.SettledEra != nil && *member.SettledEra == row.Version.Era() {
+			out.SettledEra = member.SettledEra
+		}
 		switch {
 		case row.Key == rowPrefix(deployment)+id:
 			out.PreviousIncarnation, out.OwnAddress = member.Incarnation, member.Address
@@ -175,6 +254,27 @@
 	return out, nil
 }
 
+// Registered returns the IDs of a failure domain's members that have written a row. It returns an error
+// if the platform fails.
+func (m *Manager) Registered(ctx context.Context, domain string) ([]string, error) {
+	rows, err := m.store.Scan(ctx, rowPrefix(m.deployment))
+	if err != nil {
+		return nil, err
+	}
+	var ids []string
+	for _, row := range rows {
+		var member memberRow
+		if err := json.Unmarshal(row.Value, &member); err != nil {
+			m.log.Warn().Err(err).Str("row", row.Key).Msg("member's row cannot be decoded")
+			continue
+		}
+		if member.Domain == domain {
+			ids = append(ids, strings.TrimPrefix(row.Key, rowPrefix(m.deployment)))
+		}
+	}
+	return ids, nil
+}
+
 func rowPrefix(deployment string) string { return "member/" + deployment + "/" }
 
 // announceStart notifies the contacts that this node has started, and repeats it for those
@@ -217,12 +317,20 @@
 	if err != nil {
 		return err
 	}
+	m.vouch(rows)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.machine.AddContacts(rows.Contacts)
 	return nil
 }
 
+// vouch passes on which era the members have found settled.
+func (m *Manager) vouch(rows StartRows) {
+	if rows.SettledEra != nil {
+		m.eras.VouchForEra(*rows.SettledEra)
+	}
+}
+
 // completeContacts reads contacts unless there are enough already. It must run after register:
 // of two nodes that start at the same time, one then sees the other's row.
 func (m *Manager) completeContacts(ctx context.Context) error {
