The lease from a copy is taken once no registered member holds it

Cause: the wait stands for a question that nobody asked. Only members of the domain can hold its lease.

The fix: the candidate asks all of them that have a row. A live holder says no, and writes its own row again; one that has started again says yes.

--- a/internal/node/provide_mesh.go
+++ b/internal/node/provide_mesh.go
@@ -117,6 +117,6 @@
 	}
 }
 
-func provideLeases(self dispatch.Self, c *config.Node, clk clock.Clock, s store.Store, m *table.Members, p lease.Peers, r lease.Reporter, log zerolog.Logger) *lease.Manager {
-	return lease.New(self, c.Deployment, clk, s, m, p, r, log)
+func provideLeases(self dispatch.Self, c *config.Node, clk clock.Clock, s store.Store, m *table.Members, p lease.Peers, ms lease.Membership, log zerolog.Logger) *lease.Manager {
+	return lease.New(self, c.Deployment, clk, s, m, p, ms, log)
 }
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -102,7 +102,7 @@
 		wire.Bind(new(document.Peers), new(*peer.Client)),
 		wire.Bind(new(peer.LeaseHolder), new(*lease.Manager)),
 		wire.Bind(new(lease.Peers), new(*peer.Client)),
-		wire.Bind(new(lease.Reporter), new(*membership.Manager)),
+		wire.Bind(new(lease.Membership), new(*membership.Manager)),
 		wire.Bind(new(peer.ShareHome), new(*shares.Manager)),
 		wire.Bind(new(peer.ClaimHome), new(peer.Unserved)),
 	)
--- a/internal/system/lease/lease.go
+++ b/internal/system/lease/lease.go
@@ -12,8 +12,8 @@
 // proves that the earlier process has ended.
 //
 // If the store is restored from a copy, the row goes back to an earlier state. The holder writes it
-// again. Until it has, nothing that the row says of its holder counts, and a successor waits for a
-// whole term.
+// again. Until it has, nothing that the row says of its holder counts: a successor asks all registered
+// members of the domain whether they hold the lease, or waits for a whole term.
 package lease
 
 import (
@@ -79,9 +79,13 @@
 	Yield(ctx context.Context, address string, req *peerpb.YieldRequest) (*peerpb.YieldReply, error)
 }
 
-// Reporter publishes to the other members whether this node can reach the platform.
-type Reporter interface {
+// Membership is what a manager needs of the membership protocol. It is safe for concurrent use.
+type Membership interface {
+	// ReportPlatform publishes to the other members whether this node can reach the platform.
 	ReportPlatform(ctx context.Context, lost bool)
+	// Registered returns the IDs of a failure domain's members that have registered at the
+	// platform.
+	Registered(ctx context.Context, domain string) ([]string, error)
 }
 
 // Manager holds this node's lease. It is safe for concurrent use.
@@ -91,7 +95,7 @@
 	store      platform.Store
 	members    *table.Members
 	peers      Peers
-	reporter   Reporter
+	membership Membership
 	deployment string
 	log        zerolog.Logger
 	// bucketStates returns the states of this node's buckets, by account, to be stored
@@ -121,9 +125,9 @@
 }
 
 // New returns a manager that holds no lease.
-func New(self dispatch.Self, deployment string, c clock.Clock, s platform.Store, m *table.Members, p Peers, r Reporter, log zerolog.Logger) *Manager {
+func New(self dispatch.Self, deployment string, c clock.Clock, s platform.Store, m *table.Members, p Peers, ms Membership, log zerolog.Logger) *Manager {
 	noStates := func() map[string]escrow.BucketState { return nil }
-	return &Manager{self: self, deployment: deployment, clock: c, store: s, members: m, peers: p, reporter: r, log: log, bucketStates: noStates, startedAt: c.Now()}
+	return &Manager{self: self, deployment: deployment, clock: c, store: s, members: m, peers: p, membership: ms, log: log, bucketStates: noStates, startedAt: c.Now()}
 }
 
 // StoreOnRelease makes a release store the bucket states that f returns in the row, for
@@ -274,7 +278,7 @@
 	if lost != m.isLost {
 		m.isLost = lost
 		m.log.Info().Str("lease", m.key()).Bool("platform_lost", lost).Msg("reachability of the platform changed")
-		m.reporter.ReportPlatform(ctx, lost)
+		m.membership.ReportPlatform(ctx, lost)
 	}
 	delay := lostCheckInterval/2 + rand.N(lostCheckInterval)
 	if isHolder {
--- a/internal/system/lease/lease_test.go
+++ b/internal/system/lease/lease_test.go
@@ -88,6 +88,15 @@
 	r.fleet.members.Merge(m)
 }
 
+// Registered implements Membership.
+func (r reporter) Registered(context.Context, string) ([]string, error) {
+	var ids []string
+	for _, m := range r.fleet.members.All() {
+		ids = append(ids, m.ID)
+	}
+	return ids, nil
+}
+
 // Yield implements Peers.
 func (f *fleet) Yield(ctx context.Context, address string, req *peerpb.YieldRequest) (*peerpb.YieldReply, error) {
 	m := f.managers[address]
--- a/internal/system/lease/restore_test.go
+++ b/internal/system/lease/restore_test.go
@@ -44,3 +44,22 @@
 		}
 	}
 }
+
+// Load: all nodes end while the store is away, and it comes back from a copy.
+func TestLeaseIsTakenAtOnceIfNoRegisteredMemberHoldsIt(t *testing.T) {
+	f := newFleet(t)
+	f.add("a", 1)
+	f.add("b", 2)
+	f.advance(time.Second)
+	copied := f.server.Version()
+	f.advance(2 * time.Second)
+	f.kill("a")
+	f.kill("b")
+	f.server.RestoreTo(copied)
+	f.add("a", 3)
+	f.advance(time.Second)
+	require.Empty(t, f.holder(), "b may hold it")
+	f.add("b", 4)
+	f.advance(2 * time.Second)
+	require.Equal(t, "a", f.holder())
+}
--- a/internal/system/lease/row.go
+++ b/internal/system/lease/row.go
@@ -97,10 +97,12 @@
 }
 
 // predecessorStopped returns a time by which all earlier holders have certainly stopped acting, false
-// if one may still act. It may ask the holder to yield and records the reply in r. If the row is from
-// a copy, an unknown holder is waited for.
+// if one may still act. It may ask the holder to yield and records the reply in r.
 func (m *Manager) predecessorStopped(ctx context.Context, old platform.Row, r *row) (clock.Time, bool) {
 	if r.isFromCopy(old.Version) {
+		if m.nobodyHolds(ctx, r.Epoch) {
+			return m.clock.Now(), true
+		}
 		return m.observeRow(old, *r)
 	}
 	stopped, ok := m.holderStopped(old, *r)
--- a/internal/system/lease/yield.go
+++ b/internal/system/lease/yield.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
+	"sync/atomic"
 
 	"comfreycart.dev/comfreycart/internal/peer/peerpb"
+	"comfreycart.dev/comfreycart/internal/table"
 )
 
 // askToYield asks the holder named in a row to give up the lease. If it has, askToYield marks r
@@ -34,6 +37,46 @@
 	return true
 }
 
+// nobodyHolds asks all registered members of the domain whether they hold the lease, since the row is
+// from a copy of the store and names a holder with the given epoch that may not be the last one. It
+// returns false if one of them does or cannot be asked. A node that registered only after the copy
+// was made is asked if it had registered before under the same ID.
+func (m *Manager) nobodyHolds(ctx context.Context, epoch uint64) bool {
+	registered, err := m.membership.Registered(ctx, m.self.Domain)
+	if err != nil {
+		m.log.Warn().Err(err).Str("lease", m.key()).Msg("the domain's members cannot be read")
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, yieldTimeout)
+	defer cancel()
+	var holders atomic.Int64
+	var asked sync.WaitGroup
+	for _, id := range registered {
+		if id != m.self.ID {
+			asked.Go(func() {
+				if !m.hasEnded(ctx, id, epoch) {
+					holders.Add(1)
+				}
+			})
+		}
+	}
+	asked.Wait()
+	m.log.Info().Str("lease", m.key()).Uint64("epoch", epoch).Int("asked", len(registered)-1).Int64("not_ended", holders.Load()).
+		Msg("the lease's row is from a copy, members asked for its holder")
+	return holders.Load() == 0
+}
+
+// hasEnded asks a member to confirm that it does not hold the lease, and to give up the given epoch.
+// A member that has left does not act any more.
+func (m *Manager) hasEnded(ctx context.Context, id string, epoch uint64) bool {
+	member, known := m.members.Get(id)
+	if !known || !member.Usable() {
+		return known && member.State == table.Left
+	}
+	reply, err := m.peers.Yield(ctx, member.Address, &peerpb.YieldRequest{Incarnation: member.Incarnation, Epoch: epoch})
+	return err == nil && reply.Ended
+}
+
 // HandleYield gives up the lease unless this node still counts itself as its domain's candidate,
 // and promises never to act under the epoch again. It implements peer.LeaseHolder.
 func (m *Manager) HandleYield(_ context.Context, req *peerpb.YieldRequest) (*peerpb.YieldReply, error) {
