Round up the wait for the rate limit

The wait for the next token was cut off to whole nanoseconds, so that there could be no token yet when a waiting call was woken, and a wait of 0 then left it without a further wake-up until another call came or ended.

TestThereIsATokenAfterTheWait failed on the code before.

--- a/internal/decide/ratelimit/ratelimit.go
+++ b/internal/decide/ratelimit/ratelimit.go
@@ -67,12 +67,13 @@
 	}
 }
 
-// UntilToken returns how long after now the next call may be sent, 0 if it may be sent now.
+// UntilToken returns how long after now the next call may be sent, 0 if it may be sent now. It is
+// rounded up, so that there is a token then.
 func (p *Pacer) UntilToken(now clock.Time) time.Duration {
 	if p.HasToken(now) {
 		return 0
 	}
-	return p.timeFor(1 - p.tokens)
+	return p.timeFor(1-p.tokens) + time.Microsecond
 }
 
 // TimeFor returns the time in which the rate permits a number of calls, 0 without a limit.
