--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -78,56 +78,91 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Deadline.Sub(d.clock.Now()))
 	defer cancel()
-	var last call.Result
-	earlierMayHaveRun := false
-	var tried []*table.Endpoint
-	retriesLeft := c.RetryAllowance
-	failovers, refusals := 0, 0
-	var moves pick.Moves
-	avoidLimited := false
+	p := progress{retriesLeft: c.RetryAllowance}
 	for {
-		e := d.pickEndpoint(c.Service, tried, avoidLimited)
-		if e == nil && refusedByEndpoint(&last) && refusals <= maxRefusalRetries {
-			e = d.pickEndpoint(c.Service, nil, false)
-		}
+		e := d.nextEndpoint(c, &p)
 		if e == nil {
-			return d.lastOrNoEndpoint(last, c, retriesLeft)
-		}
-		tried = append(tried, e)
-		retained := retainedRetries(c, retriesLeft)
-		last = d.send(ctx, e, c, retriesLeft-retained)
-		last.UnusedRetries += retained
-		last.EndpointNode, last.Attempts = e.Node, len(tried)
-		if earlierMayHaveRun {
-			last = withUnknownOutcome(last)
+			return d.lastOrNoEndpoint(p.last, c, p.retriesLeft)
 		}
-		earlierMayHaveRun = earlierMayHaveRun || mayHaveRun(&last)
-		retriesLeft = last.UnusedRetries
-		d.observeLoad(c, last.Feedback)
-		reason, retryable := retryReason(ctx, c, &last)
-		avoidLimited = hitRateLimit(&last) && d.hasUnlimited(c.Service, tried)
-		switch {
-		case retryable && failovers < maxFailovers && endpointGone(&last):
-			failovers++
-		case ctx.Err() == nil && failovers < maxFailovers && hadNoRoom(&last) && moves.Next(len(d.endpoints.ForService(c.Service))):
-			reason, retryable = last.Failure.Reason, true
-			failovers++
-		case ctx.Err() == nil && failovers < maxFailovers && hitRateLimit(&last) && (avoidLimited || moves.NextLimited()):
-			reason, retryable = last.Failure.Reason, true
-			failovers++
-		case retryable && refusals < maxRefusalRetries && refusedByEndpoint(&last) && d.budgets.spend(c, reason):
-			refusals++
-		case retryable && retriesLeft > 0 && d.budgets.spend(c, reason):
-			retriesLeft--
-		default:
-			d.logAttempt(c, e, &last, retryable, retriesLeft)
-			return last
+		d.attempt(ctx, e, c, &p)
+		reason, retryable, again := d.decide(ctx, c, &p)
+		d.logAttempt(c, e, &p.last, retryable, p.retriesLeft)
+		if !again {
+			return p.last
 		}
 		d.metric.CountRetry(reason)
-		d.logAttempt(c, e, &last, true, retriesLeft)
 	}
 }
 
+// progress is the state of a call between its attempts.
+type progress struct {
+	tried []*table.Endpoint
+	last  call.Result
+	// earlierMayHaveRun is set if the backend server may have run an attempt.
+	earlierMayHaveRun bool
+	retriesLeft       int
+	// failovers and refusals count the attempts that used no retry allowance.
+	failovers, refusals int
+	moves               pick.Moves
+	// avoidLimited is set if the next endpoint must not have named a rate limit.
+	avoidLimited bool
+}
+
+// nextEndpoint returns the endpoint for the next attempt, or nil if there is none.
+func (d *Dispatcher) nextEndpoint(c *call.Call, p *progress) *table.Endpoint {
+	e := d.pickEndpoint(c.Service, p.tried, p.avoidLimited)
+	if e == nil && refusedByEndpoint(&p.last) && p.refusals <= maxRefusalRetries {
+		return d.pickEndpoint(c.Service, nil, false)
+	}
+	return e
+}
+
+// attempt sends the call to e and records the result.
+func (d *Dispatcher) attempt(ctx context.Context, e *table.Endpoint, c *call.Call, p *progress) {
+	p.tried = append(p.tried, e)
+	retained := retainedRetries(c, p.retriesLeft)
+	p.last = d.send(ctx, e, c, p.retriesLeft-retained)
+	p.last.UnusedRetries += retained
+	p.last.EndpointNode, p.last.Attempts = e.Node, len(p.tried)
+	if p.earlierMayHaveRun {
+		p.last = withUnknownOutcome(p.last)
+	}
+	p.earlierMayHaveRun = p.earlierMayHaveRun || mayHaveRun(&p.last)
+	p.retriesLeft = p.last.UnusedRetries
+	p.avoidLimited = hitRateLimit(&p.last) && d.hasUnlimited(c.Service, p.tried)
+	d.observeLoad(c, p.last.Feedback)
+}
+
+// decide decides whether the call is sent again after its last attempt, and counts that. It returns
+// the reason, whether the call may be sent again at all, and whether it is.
+func (d *Dispatcher) decide(ctx context.Context, c *call.Call, p *progress) (reason call.Reason, retryable, again bool) {
+	reason, retryable = retryReason(ctx, c, &p.last)
+	switch {
+	case p.failovers < maxFailovers && (retryable && endpointGone(&p.last) || ctx.Err() == nil && d.mayMove(c, p)):
+		p.failovers++
+		return p.last.Failure.Reason, true, true
+	case retryable && p.refusals < maxRefusalRetries && refusedByEndpoint(&p.last) && d.budgets.spend(c, reason):
+		p.refusals++
+	case retryable && p.retriesLeft > 0 && d.budgets.spend(c, reason):
+		p.retriesLeft--
+	default:
+		return reason, retryable, false
+	}
+	return reason, true, true
+}
+
+// mayMove reports whether another endpoint may have room for a call that the node of the last one
+// refused for want of it.
+func (d *Dispatcher) mayMove(c *call.Call, p *progress) bool {
+	switch {
+	case hadNoRoom(&p.last):
+		return p.moves.Next(len(d.endpoints.ForService(c.Service)))
+	case hitRateLimit(&p.last):
+		return p.avoidLimited || p.moves.NextLimited()
+	}
+	return false
+}
+
 // logAttempt logs an attempt that failed. If a call is not sent again although retryable is
 // set, its retry allowance or the retry budget of its service is used up.
 func (d *Dispatcher) logAttempt(c *call.Call, e *table.Endpoint, r *call.Result, retryable bool, retriesLeft int) {
