Soak: restores of the store, rate limits, leavings said only in answers

The store comes back from a copy as old as the outage is long, and the operators' settings are written again up to half a second later. Backend servers name a rate limit while other faults hit their nodes, or say in answers that they leave while they go on announcing that they are ready. Checked are the users' bounds for limits and leavings, per node that has passed one on. The older regression seeds draw from the faults that they drew from before.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -24,7 +24,10 @@
 	sentAt, answeredAt       time.Time
 	status                   int
 	responseSeal, body       string
-	err                      error
+	// namesLimit is set if the response named a rate limit of the backend server, and saysLeaving
+	// if it said that the backend server is leaving.
+	namesLimit, saysLeaving bool
+	err                     error
 }
 
 func (a *attempt) isUnsafe() bool { return a.method == http.MethodPost }
@@ -93,17 +96,18 @@
 func (c *callers) send(client *http.Client, n *node, a *attempt) {
 	path := map[string]string{http.MethodGet: "/safe/", http.MethodPost: "/unsafe/"}[a.method] + a.id
 	a.node, a.sentAt = n.name, time.Now()
-	a.status, a.responseSeal, a.body, a.err = sendRequest(client, n, a, path)
+	a.err = sendRequest(client, n, a, path)
 	a.answeredAt = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.attempts = append(c.attempts, a)
 }
 
-func sendRequest(client *http.Client, n *node, a *attempt, path string) (int, string, string, error) {
+// sendRequest sends an attempt to a node and records the response in it.
+func sendRequest(client *http.Client, n *node, a *attempt, path string) error {
 	req, err := http.NewRequest(a.method, "http://"+n.address(portCaller)+path, bytes.NewReader([]byte(a.id)))
 	if err != nil {
-		return 0, "", "", err
+		return err
 	}
 	req.Host = "h"
 	// With GetBody set, net/http may resend a request by itself on a new connection, and
@@ -114,11 +118,14 @@
 	req.Header.Set("Authorization", "Bearer "+a.key)
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0, "", "", err
+		return err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, resp.Header.Get("Response-Seal"), string(body), err
+	a.status, a.body = resp.StatusCode, string(body)
+	a.responseSeal = resp.Header.Get("Response-Seal")
+	a.namesLimit, a.saysLeaving = resp.Header.Get("Server-Limit") != "", resp.Header.Get("Server-Leaving") != ""
+	return err
 }
 
 // stopAndCollect stops the callers and returns all attempts.
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -23,6 +23,13 @@
 	// drainBound, so that a request that arrives too late is recorded.
 	drainServingTime = drainBound + time.Second
 	linkDelay        = 60 * time.Millisecond
+	// minLimitDuration is how long a backend server names a rate limit at least, and maxLimitRate
+	// bounds the rate, in requests a second. The callers exceed it.
+	minLimitDuration = limitGrace + limitWindow
+	maxLimitRate     = 15
+	// maxRewriteDelay bounds the time until the operators have written the settings again after a
+	// restore of the store.
+	maxRewriteDelay = 500 * time.Millisecond
 )
 
 // drain is a backend server whose announcement that it is draining was acknowledged.
@@ -39,6 +46,13 @@
 	ackedAt time.Time
 }
 
+// rateLimit is a limit that a backend server named from one time to another.
+type rateLimit struct {
+	instance *instance.Instance
+	ratePerS uint64
+	from, to time.Time
+}
+
 // faultInjector injects faults into the mesh and records the key withdrawals and drains
 // that the checks need.
 type faultInjector struct {
@@ -46,13 +60,20 @@
 	callers         *callers
 	rng             *rand.Rand
 	settingsVersion int
+	// kinds is the number of faultKinds that are drawn from.
+	kinds int
 
 	mu          sync.Mutex
 	busyNodes   map[*node]bool
 	storeBusy   bool
 	withdrawals []withdrawal
 	drains      []drain
-	injected    []string
+	limits      []rateLimit
+	// leavers are the backend servers that said only in their answers that they were leaving.
+	leavers []*instance.Instance
+	// disturbed holds, by node, when faults of the node itself ended.
+	disturbed map[*node][]time.Time
+	injected  []string
 }
 
 // run starts random faults for the duration, up to maxOverlappingFaults at a time, and
@@ -62,7 +83,7 @@
 	running := make(chan struct{}, maxOverlappingFaults)
 	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(faultInterval) {
 		running <- struct{}{}
-		kind, node, other := inj.rng.IntN(len(faultKinds)), inj.f.nodes[inj.rng.IntN(len(inj.f.nodes))], inj.f.nodes[inj.rng.IntN(len(inj.f.nodes))]
+		kind, node, other := inj.rng.IntN(inj.kinds), inj.f.nodes[inj.rng.IntN(len(inj.f.nodes))], inj.f.nodes[inj.rng.IntN(len(inj.f.nodes))]
 		duration := time.Duration(inj.rng.Int64N(int64(maxFaultDuration)))
 		wg.Go(func() {
 			defer func() { <-running }()
@@ -78,70 +99,75 @@
 	// onStore marks a fault that affects the store instead of a node. Only one of them is
 	// active at a time.
 	onStore bool
+	// overlaps marks a fault that may be active together with others of the node.
+	overlaps bool
 	// inject returns when the fault has ended.
 	inject func(inj *faultInjector, n, other *node, duration time.Duration)
 }
 
 var faultKinds = []fault{
-	{"kill", false, func(inj *faultInjector, n, _ *node, d time.Duration) {
+	{"kill", false, false, func(inj *faultInjector, n, _ *node, d time.Duration) {
 		<-n.signal(syscall.SIGKILL)
 		time.Sleep(d)
 		n.start()
 	}},
-	{"stop", false, func(inj *faultInjector, n, _ *node, _ time.Duration) { <-n.signal(syscall.SIGTERM); n.start() }},
-	{"freeze", false, func(inj *faultInjector, n, _ *node, d time.Duration) {
+	{"stop", false, false, func(inj *faultInjector, n, _ *node, _ time.Duration) { <-n.signal(syscall.SIGTERM); n.start() }},
+	{"freeze", false, false, func(inj *faultInjector, n, _ *node, d time.Duration) {
 		n.signal(syscall.SIGSTOP)
 		time.Sleep(d)
 		n.signal(syscall.SIGCONT)
 	}},
-	{"cut", false, func(inj *faultInjector, n, o *node, d time.Duration) {
+	{"cut", false, false, func(inj *faultInjector, n, o *node, d time.Duration) {
 		inj.cutLinks(d, [2]string{n.name, o.name}, [2]string{o.name, n.name})
 	}},
-	{"cut one way", false, func(inj *faultInjector, n, o *node, d time.Duration) { inj.cutLinks(d, [2]string{n.name, o.name}) }},
-	{"cut from store", false, func(inj *faultInjector, n, _ *node, d time.Duration) {
+	{"cut one way", false, false, func(inj *faultInjector, n, o *node, d time.Duration) { inj.cutLinks(d, [2]string{n.name, o.name}) }},
+	{"cut from store", false, false, func(inj *faultInjector, n, _ *node, d time.Duration) {
 		inj.cutLinks(2*d, [2]string{n.name, storeName}, [2]string{storeName, n.name})
 	}},
-	{"store's answers cut", false, func(inj *faultInjector, n, _ *node, d time.Duration) { inj.cutLinks(2*d, [2]string{storeName, n.name}) }},
-	{"reset", false, func(inj *faultInjector, n, _ *node, _ time.Duration) { inj.f.links.Reset(n.name) }},
-	{"silence", false, func(inj *faultInjector, n, _ *node, _ time.Duration) { inj.f.links.Silence(n.name) }},
-	{"delay", false, func(inj *faultInjector, n, o *node, d time.Duration) {
+	{"store's answers cut", false, false, func(inj *faultInjector, n, _ *node, d time.Duration) { inj.cutLinks(2*d, [2]string{storeName, n.name}) }},
+	{"reset", false, false, func(inj *faultInjector, n, _ *node, _ time.Duration) { inj.f.links.Reset(n.name) }},
+	{"silence", false, false, func(inj *faultInjector, n, _ *node, _ time.Duration) { inj.f.links.Silence(n.name) }},
+	{"delay", false, false, func(inj *faultInjector, n, o *node, d time.Duration) {
 		inj.f.links.SetDelay(n.name, o.name, linkDelay)
 		time.Sleep(d)
 		inj.f.links.SetDelay(n.name, o.name, 0)
 	}},
-	{"store down", true, func(inj *faultInjector, _, _ *node, d time.Duration) {
+	{"store down", true, false, func(inj *faultInjector, _, _ *node, d time.Duration) {
 		inj.injectStoreFaults(platform.Faults{Down: true}, 2*d)
 	}},
-	{"store slow", true, func(inj *faultInjector, _, _ *node, d time.Duration) {
+	{"store slow", true, false, func(inj *faultInjector, _, _ *node, d time.Duration) {
 		inj.injectStoreFaults(platform.Faults{DelayMs: 200}, 2*d)
 	}},
-	{"store loses answers", true, func(inj *faultInjector, _, _ *node, d time.Duration) {
+	{"store loses answers", true, false, func(inj *faultInjector, _, _ *node, d time.Duration) {
 		inj.injectStoreFaults(platform.Faults{LoseWriteAnswers: true, FailEvery: 3, DelayMs: 20}, 2*d)
 	}},
-	{"store forgets", true, func(inj *faultInjector, _, _ *node, _ time.Duration) { inj.f.store.DropHistory() }},
-	{"withdraw", true, func(inj *faultInjector, _, _ *node, _ time.Duration) { inj.withdrawKey() }},
-	{"answers lost", false, func(inj *faultInjector, n, _ *node, d time.Duration) {
+	{"store forgets", true, false, func(inj *faultInjector, _, _ *node, _ time.Duration) { inj.f.store.DropHistory() }},
+	{"withdraw", true, false, func(inj *faultInjector, _, _ *node, _ time.Duration) { inj.withdrawKey() }},
+	{"answers lost", false, false, func(inj *faultInjector, n, _ *node, d time.Duration) {
 		inj.injectBackendFaults(n, instance.Faults{DropAnswer: true}, d)
 	}},
-	{"answers cut", false, func(inj *faultInjector, n, _ *node, d time.Duration) {
+	{"answers cut", false, false, func(inj *faultInjector, n, _ *node, d time.Duration) {
 		inj.injectBackendFaults(n, instance.Faults{TruncateAnswer: true}, d)
 	}},
-	{"extra answers", false, func(inj *faultInjector, n, _ *node, d time.Duration) {
+	{"extra answers", false, false, func(inj *faultInjector, n, _ *node, d time.Duration) {
 		inj.injectBackendFaults(n, instance.Faults{ForeignAnswer: true}, d)
 	}},
-	{"sheds", false, func(inj *faultInjector, n, _ *node, d time.Duration) {
+	{"sheds", false, false, func(inj *faultInjector, n, _ *node, d time.Duration) {
 		inj.injectBackendFaults(n, instance.Faults{Shed: true}, d)
 	}},
-	{"slow", false, func(inj *faultInjector, n, _ *node, d time.Duration) {
+	{"slow", false, false, func(inj *faultInjector, n, _ *node, d time.Duration) {
 		inj.injectBackendFaults(n, instance.Faults{Delay: 300 * time.Millisecond}, d)
 	}},
-	{"crash", false, func(inj *faultInjector, n, _ *node, d time.Duration) {
+	{"crash", false, false, func(inj *faultInjector, n, _ *node, d time.Duration) {
 		id := n.currentInstance().ID
 		n.stopInstance()
 		time.Sleep(d)
 		n.startInstance(id)
 	}},
-	{"replace", false, func(inj *faultInjector, n, _ *node, _ time.Duration) { inj.drainAndReplace(n) }},
+	{"replace", false, false, func(inj *faultInjector, n, _ *node, _ time.Duration) { inj.drainAndReplace(n) }},
+	{"store restored", true, false, func(inj *faultInjector, n, _ *node, d time.Duration) { inj.restoreStore(d) }},
+	{"rate limit", false, true, func(inj *faultInjector, n, _ *node, d time.Duration) { inj.limitRate(n, d) }},
+	{"leave", false, false, func(inj *faultInjector, n, _ *node, _ time.Duration) { inj.leaveSilently(n) }},
 }
 
 // injectIfFree injects one fault, unless its node or, for a fault of the store, the store
@@ -149,9 +175,9 @@
 func (inj *faultInjector) injectIfFree(kind int, n, other *node, duration time.Duration) {
 	f := faultKinds[kind]
 	inj.mu.Lock()
-	isBusy := inj.busyNodes[n] || f.onStore && inj.storeBusy
+	isBusy := inj.busyNodes[n] && !f.overlaps || f.onStore && inj.storeBusy
 	if !isBusy {
-		inj.busyNodes[n] = !f.onStore
+		inj.busyNodes[n] = inj.busyNodes[n] || !f.onStore && !f.overlaps
 		inj.storeBusy = inj.storeBusy || f.onStore
 		inj.injected = append(inj.injected, f.name+" "+n.name)
 	}
@@ -166,7 +192,11 @@
 		inj.storeBusy = false
 		return
 	}
+	if f.overlaps {
+		return
+	}
 	inj.busyNodes[n] = false
+	inj.disturbed[n] = append(inj.disturbed[n], time.Now())
 }
 
 func (inj *faultInjector) cutLinks(duration time.Duration, directions ...[2]string) {
@@ -213,6 +243,47 @@
 	n.startInstance(fmt.Sprintf("i-%s-%d", n.name, n.instancesStarted))
 }
 
+// leaveSilently shuts a backend server down that says only in its answers that it is leaving.
+func (inj *faultInjector) leaveSilently(n *node) {
+	i := n.currentInstance()
+	i.SetLeaving()
+	inj.mu.Lock()
+	inj.leavers = append(inj.leavers, i)
+	inj.mu.Unlock()
+	time.Sleep(drainServingTime)
+	_, _ = i.Deregister()
+	n.stopInstance()
+	n.startInstance(fmt.Sprintf("i-%s-%d", n.name, n.instancesStarted))
+}
+
+// limitRate makes a backend server name a rate limit.
+func (inj *faultInjector) limitRate(n *node, d time.Duration) {
+	i := n.currentInstance()
+	limit := rateLimit{instance: i, ratePerS: uint64(1 + d%maxLimitRate), from: time.Now()}
+	i.SetRateLimit(limit.ratePerS)
+	time.Sleep(minLimitDuration + d)
+	limit.to = time.Now()
+	i.SetRateLimit(0)
+	inj.mu.Lock()
+	defer inj.mu.Unlock()
+	inj.limits = append(inj.limits, limit)
+}
+
+// restoreStore takes the store away and brings it back from a copy as old as the outage is long. The
+// operators write their settings again a moment later.
+func (inj *faultInjector) restoreStore(d time.Duration) {
+	inj.f.store.SetFaults(platform.Faults{Down: true})
+	time.Sleep(d)
+	lost := inj.f.store.Restore(2 * d)
+	inj.f.store.SetFaults(platform.Faults{})
+	time.Sleep(d % maxRewriteDelay)
+	for _, row := range lost {
+		if row.Table == "op" {
+			inj.f.store.Put(row.RowName, row.Value)
+		}
+	}
+}
+
 // withdrawKey removes the older key of the large account from the settings and adds a new
 // one.
 func (inj *faultInjector) withdrawKey() {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sort"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,17 +32,31 @@
 	// smallRatePerS and smallBurst limit the account "small", in requests per second and in
 	// requests. The callers exceed this rate.
 	smallRatePerS, smallBurst = 10, 10
+	// From limitGrace after a backend server has named a rate limit, it gets at most limitFactor
+	// times what that allows and limitSlack requests more in any limitWindow, from nodes that have
+	// passed on an answer with the limit limitNoticeDelay before or earlier.
+	limitGrace       = 3 * time.Second
+	limitWindow      = 4 * time.Second
+	limitNoticeDelay = 500 * time.Millisecond
+	limitFactor      = 1.5
+	limitSlack       = 5
 )
 
-// regressionSeeds are the seeds that CI runs: two that pass, and each that ever
-// failed, with the cause of its failure.
+// firstKinds is the number of faults that the older regression seeds draw from.
+const firstKinds = 22
+
+// regressionSeeds are the seeds that CI runs: some that pass, and each that ever failed, with the cause
+// of its failure and the number of faults that it draws from.
 var regressionSeeds = []struct {
 	seed  uint64
 	cause string
+	kinds int
 }{
-	{1, "none"},
-	{2, "none"},
-	{134, "connections between nodes that carried no more data were reused repeatedly"},
+	{1, "none", firstKinds},
+	{2, "none", firstKinds},
+	{134, "connections between nodes that carried no more data were reused repeatedly", firstKinds},
+	{3, "none", len(faultKinds)},
+	{4, "none", len(faultKinds)},
 }
 
 // TestSoak runs the regression seeds.
@@ -48,7 +64,7 @@
 	for _, r := range regressionSeeds {
 		t.Run(fmt.Sprintf("seed=%d", r.seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, r.seed, 6, 10*time.Second)
+			runSeed(t, r.seed, r.kinds, 6, 10*time.Second)
 		})
 	}
 }
@@ -68,17 +84,17 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			runSeed(t, seed, *meshSize, *faultDuration)
+			runSeed(t, seed, len(faultKinds), *meshSize, *faultDuration)
 		})
 	}
 }
 
 // runSeed runs a mesh under faults and requests drawn from the seed, and checks the recorded
 // outcomes.
-func runSeed(t *testing.T, seed uint64, size int, duration time.Duration) {
+func runSeed(t *testing.T, seed uint64, kinds, size int, duration time.Duration) {
 	f := newFleet(t, size)
 	c := newCallers(f, map[string][]string{"large": {"large-0", "large-1"}, "small": {"small-0", "small-1"}})
-	inj := &faultInjector{f: f, callers: c, rng: rand.New(rand.NewPCG(seed, 1)), busyNodes: map[*node]bool{}}
+	inj := &faultInjector{f: f, callers: c, rng: rand.New(rand.NewPCG(seed, 1)), kinds: kinds, busyNodes: map[*node]bool{}, disturbed: map[*node][]time.Time{}}
 	inj.putSettings()
 	f.awaitServed(c, readyTimeout)
 	c.start(seed)
@@ -157,6 +173,8 @@
 	}
 	checkRate(t, small)
 	checkDrains(t, inj.drains)
+	checkRateLimits(t, f, inj, all)
+	checkLeavers(t, f, inj, all)
 }
 
 // checkRate checks that in no window of rateWindow more requests ran than the rate and the
@@ -183,6 +201,86 @@
 	}
 }
 
+// checkRateLimits checks that backend servers which have named a rate limit did not get more from the
+// nodes that knew it.
+func checkRateLimits(t *testing.T, f *fleet, inj *faultInjector, all []*attempt) {
+	attempts := byID(all)
+	for _, limit := range inj.limits {
+		informed := informedNodes(f, inj, limit.instance, all, func(a *attempt) bool { return a.namesLimit && a.answeredAt.After(limit.from) })
+		var counted []time.Time
+		for _, r := range limit.instance.Runs() {
+			since, ok := informed(attempts[r.AttemptID], r.At)
+			if ok && r.At.After(limit.from.Add(limitGrace)) && r.At.Before(limit.to) && r.At.Sub(since) >= limitNoticeDelay {
+				counted = append(counted, r.At)
+			}
+		}
+		most := int(limitFactor*float64(limit.ratePerS)*limitWindow.Seconds()) + limitSlack
+		for i := range counted {
+			if j := i + most; j < len(counted) && counted[j].Sub(counted[i]) < limitWindow {
+				t.Errorf("%s named a limit of %d requests a second and got more than %d within %v", limit.instance.ID, limit.ratePerS, most, limitWindow)
+				break
+			}
+		}
+	}
+}
+
+// checkLeavers checks that backend servers which said in an answer that they were leaving got no
+// requests after drainBound from the nodes that had passed it on.
+func checkLeavers(t *testing.T, f *fleet, inj *faultInjector, all []*attempt) {
+	attempts := byID(all)
+	for _, leaver := range inj.leavers {
+		informed := informedNodes(f, inj, leaver, all, func(a *attempt) bool { return a.saysLeaving })
+		for _, r := range leaver.Runs() {
+			a := attempts[r.AttemptID]
+			if since, ok := informed(a, r.At); ok && a.sentAt.Sub(since) > drainBound {
+				t.Errorf("%s of %s ran at %s %v after the node had heard that it was leaving", a.id, a.node, leaver.ID, a.sentAt.Sub(since))
+			}
+		}
+	}
+}
+
+func byID(all []*attempt) map[string]*attempt {
+	attempts := map[string]*attempt{}
+	for _, a := range all {
+		attempts[a.id] = a
+	}
+	return attempts
+}
+
+// informedNodes returns a function that tells since when the node of an attempt had been informed at a
+// time: since it passed on an answer of the instance for which isInforming holds, unless a fault of the
+// node itself ended later. The attempt may be nil.
+func informedNodes(f *fleet, inj *faultInjector, from *instance.Instance, all []*attempt, isInforming func(*attempt) bool) func(a *attempt, at time.Time) (time.Time, bool) {
+	passedOn, disturbed := map[string][]time.Time{}, map[string][]time.Time{}
+	for _, a := range all {
+		if strings.HasSuffix(a.body, " of "+from.ID) && isInforming(a) {
+			passedOn[a.node] = append(passedOn[a.node], a.answeredAt)
+		}
+	}
+	for _, times := range passedOn {
+		slices.SortFunc(times, time.Time.Compare)
+	}
+	for _, n := range f.nodes {
+		disturbed[n.name] = inj.disturbed[n]
+	}
+	return func(a *attempt, at time.Time) (time.Time, bool) {
+		if a == nil {
+			return time.Time{}, false
+		}
+		var calmSince time.Time
+		for _, d := range disturbed[a.node] {
+			if d.After(calmSince) && d.Before(at) {
+				calmSince = d
+			}
+		}
+		i := slices.IndexFunc(passedOn[a.node], func(p time.Time) bool { return p.After(calmSince) })
+		if i < 0 {
+			return time.Time{}, false
+		}
+		return passedOn[a.node][i], passedOn[a.node][i].Before(at)
+	}
+}
+
 // countOutcomes counts the attempts by method and status.
 func countOutcomes(all []*attempt) map[string]int {
 	out := map[string]int{}
--- a/test/standin/instance/instance.go
+++ b/test/standin/instance/instance.go
@@ -46,7 +46,11 @@
 	ID, Service, Address, Control string
 	StartedAt                     time.Time
 
-	faults   atomic.Pointer[Faults]
+	faults atomic.Pointer[Faults]
+	// rateLimit is the rate limit that the answers name, in requests a second; 0 is none.
+	rateLimit atomic.Uint64
+	// leaving is set if the answers say that the instance is leaving.
+	leaving  atomic.Bool
 	sequence atomic.Uint64
 	server   *http.Server
 
@@ -81,6 +85,12 @@
 // SetFaults replaces the simulated faults.
 func (i *Instance) SetFaults(f Faults) { i.faults.Store(&f) }
 
+// SetRateLimit makes the answers name a rate limit in requests a second; 0 ends it.
+func (i *Instance) SetRateLimit(ratePerS uint64) { i.rateLimit.Store(ratePerS) }
+
+// SetLeaving makes the answers say that the instance is leaving.
+func (i *Instance) SetLeaving() { i.leaving.Store(true) }
+
 // SetSubCall sets the call to make for each request; nil means none.
 func (i *Instance) SetSubCall(s *SubCall) {
 	i.mu.Lock()
@@ -219,10 +229,17 @@
 		return
 	}
 	body := "answer to " + attempt + " of " + i.ID
+	notice := ""
+	if rate := i.rateLimit.Load(); rate > 0 {
+		notice = fmt.Sprintf("Server-Limit: %d\r\n", rate)
+	}
+	if i.leaving.Load() {
+		notice += "Server-Leaving: 1\r\n"
+	}
 	if f.ForeignAnswer {
-		_, _ = buf.WriteString(responseHead(http.StatusOK, "someone-else", len("foreign"), "keep-alive") + "foreign")
+		_, _ = buf.WriteString(responseHead(http.StatusOK, "someone-else", "", len("foreign"), "keep-alive") + "foreign")
 	}
-	text := responseHead(status, attempt, len(body), "close") + body
+	text := responseHead(status, attempt, notice, len(body), "close") + body
 	if f.TruncateAnswer {
 		text = text[:len(text)-3]
 	}
@@ -230,7 +247,8 @@
 	_ = buf.Flush()
 }
 
-func responseHead(status int, attempt string, length int, connection string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nResponse-Seal: seal\r\nConnection: %s\r\nContent-Length: %s\r\n\r\n",
-		status, http.StatusText(status), attempt, connection, strconv.Itoa(length))
+// responseHead returns the head of an answer. notice holds further header lines.
+func responseHead(status int, attempt, notice string, length int, connection string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\n%sResponse-Seal: seal\r\nConnection: %s\r\nContent-Length: %s\r\n\r\n",
+		status, http.StatusText(status), attempt, notice, connection, strconv.Itoa(length))
 }
