--- a/internal/system/dispatch/pick.go
+++ b/internal/system/dispatch/pick.go
@@ -27,11 +27,16 @@
 	})
 }
 
+// areAllLimited reports whether the service has endpoints and all of them have named a rate limit.
+func (d *Dispatcher) areAllLimited(service string) bool {
+	return len(d.endpoints.ForService(service)) > 0 && !d.hasUnlimited(service, nil)
+}
+
 // observeLoad records the load of an endpoint for the admission of new requests. While only some
 // endpoints of a service are rate-limited, the admission level of those says nothing about the
 // service, since calls that exceed the limit go on to the others.
 func (d *Dispatcher) observeLoad(c *call.Call, f *call.Feedback) {
-	if f != nil && f.Notice.LimitsRate() && !d.endpoints.IsRateLimited(c.Service) {
+	if f != nil && f.Notice.LimitsRate() && !d.areAllLimited(c.Service) {
 		return
 	}
 	d.shedder.observe(c, f)
--- a/internal/system/document/document.go
+++ b/internal/system/document/document.go
@@ -91,7 +91,7 @@
 	confirmedAt atomic.Int64
 
 	mu    sync.Mutex
-	known known
+	known documentState
 	// watchAfter is the store version after which the next watch reports changes; 0 means
 	// that the row must be read first.
 	watchAfter platform.Version
@@ -195,7 +195,7 @@
 func (f *Follower) isConfirmable() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.known.isCurrent && f.known.isSettled(f.clock.Now())
+	return f.known.isConfirmable(f.clock.Now())
 }
 
 // isPlatformDue reports whether this node may ask the platform although other nodes answer it.
@@ -308,7 +308,7 @@
 // checkOrder reports and logs a state of the row that does not follow the one before: the store has
 // been restored from a copy, or its document is older than the newest one known. The caller holds f.mu.
 func (f *Follower) checkOrder(row platform.Row, view *settings.View) {
-	if f.known.latest != 0 && row.Version.Era() > f.known.latest.Era() {
+	if f.known.isRestored(row) {
 		f.log.Warn().Stringer("row", row.Version).Stringer("previous_row", f.known.latest).
 			Msg("the platform's store was restored from a copy")
 		if f.restored != nil {
@@ -343,7 +343,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.watchAfter = after
-	if f.known.isCurrent && f.known.isSettled(f.clock.Now()) {
+	if f.known.isConfirmable(f.clock.Now()) {
 		f.confirm(sentAt)
 	}
 	f.recordRegained()
--- a/internal/system/document/restore_test.go
+++ b/internal/system/document/restore_test.go
@@ -16,6 +16,17 @@
 // otherRow is a row that nodes write.
 var otherRow = standin.RowName{Table: "member", Key: "x"}
 
+// newHarnessOfTwo returns a harness with the members n1, which is the harness's follower and watches the
+// platform, and n2.
+func newHarnessOfTwo(t *testing.T) *harness {
+	h := newHarness(t)
+	for i, id := range []string{"n1", "n2"} {
+		h.addMember(id, "a", uint64(i+1))
+	}
+	h.reachable["n1"] = h.Follower
+	return h
+}
+
 // copyPause is longer than the resolution of the stand-in's clock.
 const copyPause = 20 * time.Millisecond
 
@@ -79,11 +90,7 @@
 // Until the operators have written the newest document again, the store's older one is neither
 // installed, nor passed on, nor a confirmation.
 func TestCopyWithOlderSettingsReplacesAndConfirmsNothing(t *testing.T) {
-	h := newHarness(t)
-	for i, id := range []string{"n1", "n2"} {
-		h.addMember(id, "a", uint64(i+1))
-	}
-	h.reachable["n1"] = h.Follower
+	h := newHarnessOfTwo(t)
 	h.putDocument(3, `"k1","k2"`)
 	copied := takeCopy()
 	h.putDocument(5, `"k1"`)
@@ -111,11 +118,7 @@
 // A node may be the last one that knows of a withdrawal: the others do not confirm older settings
 // once they have heard of it.
 func TestNodeThatKnowsNewerSettingsStopsTheConfirmationOfOlderOnes(t *testing.T) {
-	h := newHarness(t)
-	for i, id := range []string{"n1", "n2"} {
-		h.addMember(id, "a", uint64(i+1))
-	}
-	h.reachable["n1"] = h.Follower
+	h := newHarnessOfTwo(t)
 	h.putDocument(3, `"k1","k2"`)
 	require.NoError(t, h.Step(t.Context()))
 	copied := takeCopy()
@@ -155,7 +158,7 @@
 // Whatever is read, by whatever way, the newest document known never goes back, and only it is
 // current.
 func TestKnownDocumentNeverGoesBack(t *testing.T) {
-	k := known{}
+	k := documentState{}
 	version := func(era, number uint64) platform.Version {
 		v, err := platform.NewVersion(era, number)
 		require.NoError(t, err)
--- a/internal/system/serve/notice.go
+++ b/internal/system/serve/notice.go
@@ -45,11 +45,11 @@
 		// An answer to an earlier call may have left before the backend server named the limit.
 		n.RateLimited, n.Rate = true, previous.Rate
 	}
-	if n.RateLimited || n.Leaving {
-		s.setNotice(b, c, &n, "answer")
-	} else {
-		s.setNotice(b, c, nil, "answer")
+	stated := &n
+	if !n.RateLimited && !n.Leaving {
+		stated = nil
 	}
+	s.setNotice(b, c, stated, "answer")
 }
 
 // hearSender records what the sender of c has heard from the backend server. After a restart this
--- a/internal/table/notices.go
+++ b/internal/table/notices.go
@@ -56,15 +56,3 @@
 	}
 	return false
 }
-
-// IsRateLimited reports whether the backend servers of all the service's endpoints have named a
-// rate limit.
-func (t *Endpoints) IsRateLimited(service string) bool {
-	endpoints := t.ForService(service)
-	for _, e := range endpoints {
-		if !e.Notice().LimitsRate() {
-			return false
-		}
-	}
-	return len(endpoints) > 0
-}
