A connection carries the ID of a call only once

Cause: answers were matched to a call by the ID of the caller's attempt, which all sendings of the call share, and the connection used last is used first. After a refusal the call went out again on the same connection; a late second copy of the refusal was taken for the answer to that sending.

Why this works: an answer names its call but not the sending. On a connection that carries each ID once, an answer with the ID can only be that of its one sending. The IDs are kept as hashes, and a connection ends after 512 calls, so that it keeps at most 4 KiB; two IDs with one hash cost a connection and nothing else.

The same cause elsewhere: a caller that uses an ID twice, and copies of other answers to a call that is sent again. Backend servers that name no call in their answers: the connection ends with a refusal, so that a copy of it reaches no other call.

New counter: comfreycart_backend_foreign_answers_total.

--- a/internal/system/serve/dialect.go
+++ b/internal/system/serve/dialect.go
@@ -22,8 +22,11 @@
 	// Request returns the HTTP request for a call that has the given time left. The handle
 	// identifies the call on this node.
 	Request(ctx context.Context, c *call.Call, l table.LocalBackend, timeLeft time.Duration, handle string) *http.Request
-	// IsForOtherCall reports whether an answer belongs to another call than c.
-	IsForOtherCall(resp *http.Response, c *call.Call, handle string) bool
+	// CallID returns the ID that the backend server's answers to the call repeat. All sendings of
+	// one call may have the same ID.
+	CallID(c *call.Call, handle string) string
+	// Match reports whether an answer belongs to c.
+	Match(resp *http.Response, c *call.Call, handle string) Match
 	// ProvesNotRun reports whether an answer proves that the call did not run, and whether
 	// the reason is that the address now belongs to another instance. The parameter
 	// requestedSubCall says whether the call has requested a sub-call.
@@ -40,6 +43,20 @@
 	CanForward(resp *http.Response, c *call.Call) bool
 }
 
+// Match says whether an answer belongs to a call.
+type Match uint8
+
+// The matches.
+const (
+	// OtherCall is the match of an answer that belongs to another call.
+	OtherCall Match = iota
+	// NamedCall is the match of an answer that repeats the call's ID.
+	NamedCall
+	// UnnamedCall is the match of an answer without an ID, from a backend server that has never
+	// sent one.
+	UnnamedCall
+)
+
 // Traits are properties of backend servers that decide how their connections and sheds are
 // handled.
 type Traits struct {
@@ -120,17 +137,21 @@
 	return req.WithContext(ctx)
 }
 
-// IsForOtherCall implements Dialect. An answer belongs to another call if it contains the
-// handle of another call, or none although the service's backend server has sent handles
-// before.
-func (d *NativeDialect) IsForOtherCall(resp *http.Response, c *call.Call, handle string) bool {
+// CallID implements Dialect. Each sending has a handle of its own.
+func (*NativeDialect) CallID(_ *call.Call, handle string) string { return handle }
+
+// Match implements Dialect. An answer belongs to another call if it contains the handle of
+// another call, or none although the service's backend server has sent handles before.
+func (d *NativeDialect) Match(resp *http.Response, c *call.Call, handle string) Match {
 	answered := resp.Header.Get(HeaderCall)
 	if answered == handle {
 		d.echoing.Store(c.Service, true)
-		return false
+		return NamedCall
+	}
+	if _, echoes := d.echoing.Load(c.Service); echoes || answered != "" {
+		return OtherCall
 	}
-	_, echoes := d.echoing.Load(c.Service)
-	return answered != "" || echoes
+	return UnnamedCall
 }
 
 // ProvesNotRun implements Dialect. A call that requested a sub-call has run: its backend
--- a/internal/system/serve/exchange.go
+++ b/internal/system/serve/exchange.go
@@ -49,12 +49,14 @@
 	handle  string
 	// held is the memory reserved for the answer.
 	held *memory.Reservation
+	// foreignAnswers is the number of answers to other calls that were read.
+	foreignAnswers int
 }
 
 // run sends the request on one connection and reads the complete answer. It never sends a
 // request twice.
 func (x *exchange) run(ctx context.Context) (*http.Response, []byte, *call.Failure) {
-	cn, err := x.pool.get(ctx)
+	cn, err := x.pool.get(ctx, x.dialect.CallID(x.call, x.handle))
 	if err != nil {
 		return nil, nil, call.NewRefusal(call.BackendUnreachable, "no connection to the backend server of %s", x.call.Service)
 	}
@@ -116,7 +118,7 @@
 // receive reads complete answers until one belongs to this call.
 func (x *exchange) receive(cn *conn, req *http.Request) (*http.Response, []byte, error) {
 	traits := x.dialect.Traits()
-	for skipped := 0; skipped < maxForeignAnswers; {
+	for x.foreignAnswers < maxForeignAnswers {
 		resp, err := readHead(cn, req)
 		if err != nil {
 			return nil, nil, err
@@ -125,13 +127,21 @@
 		if err != nil {
 			return resp, nil, err
 		}
-		if !x.dialect.IsForOtherCall(resp, x.call, x.handle) {
+		switch x.dialect.Match(resp, x.call, x.handle) {
+		case NamedCall:
+			return resp, body, nil
+		case UnnamedCall:
+			if notRun, _ := x.dialect.ProvesNotRun(resp, false); notRun {
+				// If the backend server sends this answer once more, the next call on the
+				// connection could not tell it from its own.
+				resp.Close = true
+			}
 			return resp, body, nil
 		}
+		x.foreignAnswers++
 		if resp.Close || !traits.ExtraAnswers {
 			break
 		}
-		skipped++
 	}
 	return nil, nil, errOtherCall
 }
--- a/internal/system/serve/pool.go
+++ b/internal/system/serve/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +24,9 @@
 	// an idle connection is not used any more, so that no request is sent just as the
 	// backend server closes the connection.
 	idleTimeoutFraction = 0.7
+	// maxCallsPerConn is the number of calls after which a connection is closed. It bounds the IDs
+	// that a connection keeps, 4 KiB in all.
+	maxCallsPerConn = 512
 	// dialTimeout bounds the time to connect to a backend server on the same VM.
 	dialTimeout = time.Second
 )
@@ -31,6 +36,11 @@
 	raw    net.Conn
 	head   *headLimiter
 	reader *bufio.Reader
+	// carried holds the hashes of the IDs of the calls that were sent on the connection. An answer
+	// names its call but not the sending, so that a second copy of an earlier answer to a call could
+	// be taken for the answer to a later sending of the same call. A connection therefore carries
+	// each ID only once.
+	carried []uint64
 	// sent is set once a byte of the current call may have been sent.
 	sent bool
 	// idleTimeout is how long the connection may be idle and still be used again.
@@ -77,6 +87,7 @@
 type pool struct {
 	address string
 	dialer  *net.Dialer
+	seed    maphash.Seed
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -84,14 +95,25 @@
 }
 
 func newPool(address string) *pool {
-	return &pool{address: address, dialer: tcp.Dialer(netip.Addr{}, dialTimeout)}
+	return &pool{address: address, dialer: tcp.Dialer(netip.Addr{}, dialTimeout), seed: maphash.MakeSeed()}
 }
 
-// get returns an idle connection, or a new one if none is left.
-func (p *pool) get(ctx context.Context) (*conn, error) {
-	if c := p.popReusable(); c != nil {
-		return c, nil
+// get returns a connection that has not carried the call with the given ID: an idle one, or a new
+// one if none is left. It records that the connection carries the call.
+func (p *pool) get(ctx context.Context, callID string) (*conn, error) {
+	hash := maphash.String(p.seed, callID)
+	c := p.popReusable(hash)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx); err != nil {
+			return nil, err
+		}
 	}
+	c.carried = append(c.carried, hash)
+	return c, nil
+}
+
+func (p *pool) dial(ctx context.Context) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
@@ -100,14 +122,18 @@
 	return &conn{raw: raw, head: head, reader: bufio.NewReader(head), idleTimeout: defaultIdleTimeout}, nil
 }
 
-// popReusable removes the idle connection that was used last and can be used again, or
-// returns nil. Connections that cannot be used again are closed.
-func (p *pool) popReusable() *conn {
+// popReusable removes the connection that was used last among the idle ones that can be used again
+// and have not carried the call with the given hash, or returns nil. Connections that cannot be used
+// again are closed.
+func (p *pool) popReusable(hash uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for n := len(p.idle); n > 0; n = len(p.idle) {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if slices.Contains(c.carried, hash) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if time.Since(c.lastUsed) < c.idleTimeout && c.isReusable() {
 			return c
 		}
@@ -122,7 +148,7 @@
 	_ = c.raw.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || len(c.carried) >= maxCallsPerConn {
 		c.close()
 		return
 	}
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -211,6 +211,9 @@
 	x := &exchange{dialect: s.dialect, pool: b.pool, clock: s.clock, call: c, local: local, handle: handle, held: held}
 	resp, body, f := x.run(ctx)
 	metric.ObserveDuration(s.metric.Histogram("comfreycart_backend_seconds", "service", local.Service), s.clock.Now().Sub(begin))
+	if x.foreignAnswers > 0 {
+		s.metric.Counter("comfreycart_backend_foreign_answers_total", "service", local.Service).Add(x.foreignAnswers)
+	}
 	unusedRetries, subCalls := running.End()
 	r := call.Result{Failure: f, UnusedRetries: unusedRetries, Overloaded: subCalls.Overloaded, SubCallFailed: subCalls.Failed}
 	if f == nil {
