An announced instance waits for its health check before it is used

Cause: what a node must know before it uses an endpoint lived in the memory of one process. A restarted node forgets which departures it acknowledged, and believed the first heartbeat that arrived, which had been on its way since before the departure.

Why this works: an instance that this process does not know to be alive is a candidate, which is neither used nor told to other nodes, until its health check has answered with its ID. The check must be asked after the last departure of the instance that the process knows of, so that an answer on its way is no proof. That needs no memory across restarts and no bound on how late a heartbeat may be. Cost: one probe for each start of an instance or node.

The same cause elsewhere: a departure of an instance that the process does not know was acknowledged and dropped, and is kept now; departed instances of unknown start were told by the age of the announcement (10 s), which is gone; an endpoint that timed out, also by a freeze of the node, is confirmed again; a late word that another instance is draining no longer replaces the live one.

The stand-in for backend servers keeps its connections, answers health checks, and can refuse a part of its requests, repeat answers and cut heads.

--- a/internal/api/announce/announce.go
+++ b/internal/api/announce/announce.go
@@ -46,7 +46,9 @@
 	observer   Observer
 	invalid    *metrics.Counter
 	outOfOrder *metrics.Counter
-	log        zerolog.Logger
+	// unconfirmed counts announcements of instances that are not known to be alive.
+	unconfirmed *metrics.Counter
+	log         zerolog.Logger
 }
 
 // New returns a handler for announcements at path followed by the instance's ID. path ends with
@@ -54,8 +56,9 @@
 func New(e ExpectedBackend, path string, codec Codec, c clock.Clock, l *table.LocalBackends, o Observer, m *metric.Set, log zerolog.Logger) *Handler {
 	return &Handler{
 		expected: e, path: path, codec: codec, clock: c, locals: l, observer: o, log: log,
-		invalid:    m.Counter("comfreycart_announcements_refused_total", "reason", "invalid"),
-		outOfOrder: m.Counter("comfreycart_announcements_refused_total", "reason", "old"),
+		invalid:     m.Counter("comfreycart_announcements_refused_total", "reason", "invalid"),
+		outOfOrder:  m.Counter("comfreycart_announcements_refused_total", "reason", "old"),
+		unconfirmed: m.Counter("comfreycart_announcements_unconfirmed_total"),
 	}
 }
 
@@ -85,17 +88,34 @@
 		http.Error(w, "not the backend server of this VM", http.StatusBadRequest)
 		return
 	}
+	h.apply(a)
+	h.observer.RegisterGauges(a.Service)
+	acknowledge(w)
+}
+
+// apply applies a valid announcement and logs what became of it, unless it repeats what is known.
+func (h *Handler) apply(a table.Announcement) {
 	previous, known := h.locals.Get(a.Service)
-	if !h.locals.ApplyAnnouncement(a, h.clock.Now()) {
+	candidate, waits := h.locals.Candidate(a.Service)
+	event := func() *zerolog.Event {
+		return h.log.Info().Str("instance", a.Instance).Uint64("sequence", a.Sequence).Time("started", a.StartedAt).
+			Str("state", string(a.State))
+	}
+	switch h.locals.ApplyAnnouncement(a, h.clock.Now()) {
+	case table.Outdated:
 		h.outOfOrder.Inc()
-		h.log.Info().Str("instance", a.Instance).Uint64("sequence", a.Sequence).
-			Str("known", previous.Instance).Uint64("known_sequence", previous.Sequence).Msg("outdated announcement ignored")
-	} else if !known || previous.State != a.State && previous.State != table.Warming || previous.Instance != a.Instance {
-		h.log.Info().Str("instance", a.Instance).Uint64("sequence", a.Sequence).Str("state", string(a.State)).
-			Int("slots", a.Slots).Msg("backend server announced")
+		event().Str("known", previous.Instance).Uint64("known_sequence", previous.Sequence).Bool("known_departed", previous.Departed).
+			Msg("outdated announcement ignored")
+	case table.Unconfirmed:
+		h.unconfirmed.Inc()
+		if !waits || candidate.Instance != a.Instance || !candidate.StartedAt.Equal(a.StartedAt) {
+			event().Str("known", previous.Instance).Msg("announced backend server waits for its health check")
+		}
+	case table.Applied:
+		if !known || previous.State != a.State && previous.State != table.Warming || previous.Instance != a.Instance {
+			event().Int("slots", a.Slots).Msg("backend server announced")
+		}
 	}
-	h.observer.RegisterGauges(a.Service)
-	acknowledge(w)
 }
 
 func (h *Handler) departure(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -34,7 +34,9 @@
 
 type meshNode struct {
 	id, callerAddress, readyAddress string
+	config                          *config.Node
 	instance                        *instance.Instance
+	stopAnnouncing                  context.CancelFunc
 	stop                            context.CancelFunc
 	done                            chan error
 }
@@ -80,25 +82,39 @@
 		},
 	}
 	require.NoError(t, cfg.Validate())
-	node, err := NewMesh(cfg, BaseLog(zerolog.New(zerolog.NewTestWriter(t))))
-	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	n.stop = cancel
-	go func() { n.done <- node.Run(ctx) }()
+	n.config = cfg
+	n.start(t)
+	var err error
 	n.instance, err = instance.Start("i-"+id, service, backend, control)
 	require.NoError(t, err)
 	beatCtx, stopBeat := context.WithCancel(context.Background())
+	n.stopAnnouncing = stopBeat
 	go n.instance.AnnounceUntilDone(beatCtx, 200*time.Millisecond)
 	t.Cleanup(func() {
 		stopBeat()
 		n.instance.Close()
-		cancel()
+		n.stop()
 		n.done <- <-n.done
 	})
 	f.nodes = append(f.nodes, n)
 	return n
 }
 
+func (n *meshNode) start(t *testing.T) {
+	node, err := NewMesh(n.config, BaseLog(zerolog.New(zerolog.NewTestWriter(t))))
+	require.NoError(t, err)
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(context.Background())
+	go func() { n.done <- node.Run(ctx) }()
+}
+
+// restart stops the node as planned and starts it again, without the memory of its last run.
+func (n *meshNode) restart(t *testing.T) {
+	n.stop()
+	require.NoError(t, <-n.done)
+	n.start(t)
+}
+
 // publishSettings stores an operator's document with the keys of one tenant. It routes /safe/
 // and /unsafe/ to "front" and /open/ to "deep".
 func (f *meshFleet) publishSettings(version int, keys ...string) {
@@ -109,7 +125,7 @@
 	["safe","h","/safe/","safe",2000,1000,1,2,false,"front"],
 	["unsafe","h","/unsafe/","unsafe",2000,1000,0,2,false,"front"],
 	["open","h","/open/","safe",2000,1000,2,2,true,"deep"]]},
-	"services":{"columns":["name"],"rows":[["front"],["deep"]]},
+	"services":{"columns":["name","healthPath"],"rows":[["front","/health"],["deep","/health"]]},
 	"tenants":{"columns":["name","apiKeys","ratePerS","burst"],"rows":[["t",%s,10000,1000]]}}`, version, list))
 }
 
@@ -299,6 +315,47 @@
 	}
 }
 
+// A node acknowledged a departure and was restarted. An announcement of the departed instance that was
+// on its way all the while brought it back, and the instance got a request seconds after its departure.
+func TestMeshRestartedNodeSendsNothingToADepartedInstance(t *testing.T) {
+	f := startMesh(t, "front", "deep", "front")
+	f.publishSettings(2, "k1")
+	f.waitUntilReady()
+	a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
+	f.waitUntilAllServe(b, "/safe/1", "k1", a, c)
+	a.stopAnnouncing()
+	late := a.instance.Announcement("ready")
+	status, err := a.instance.Deregister()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	departedAt := time.Now()
+	a.restart(t)
+	f.waitUntilReady()
+	status, err = a.instance.SendAnnouncement(late)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		_, resp, body := f.sendRequest([]*meshNode{a, b}[time.Now().UnixNano()%2], http.MethodPost, "/unsafe/1", "k1", "x")
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Contains(t, body, c.instance.ID)
+	}
+	for _, r := range a.instance.Runs() {
+		require.False(t, r.At.After(departedAt))
+	}
+
+	a.instance.Close()
+	born, err := instance.Start(a.instance.ID, a.instance.Service, a.instance.Address, a.instance.Control)
+	require.NoError(t, err)
+	t.Cleanup(born.Close)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go born.AnnounceUntilDone(ctx, 200*time.Millisecond)
+	require.Eventually(t, func() bool {
+		f.sendRequest(b, http.MethodPost, "/unsafe/1", "k1", "x")
+		return len(born.Runs()) > 0
+	}, 5*time.Second, 10*time.Millisecond, "the same ID after a restart of the backend server is used")
+}
+
 // A planned stop must not fail a request: neither those of callers at the stopping node nor
 // those that it runs for other nodes.
 func TestMeshPlannedStopCompletesRequests(t *testing.T) {
--- a/internal/system/serve/failures_test.go
+++ b/internal/system/serve/failures_test.go
@@ -36,10 +36,10 @@
 	m := metric.NewSet()
 	locals := table.NewLocalBackends(time.Minute)
 	s := New(clk, table.NewCalls(), locals, fence.New(clk), &NativeDialect{}, memory.NewBudget(1<<20, m), m, logging.RequestLog(zerolog.Nop()))
-	announce := func(instance string, started int64) {
-		locals.ApplyAnnouncement(table.Announcement{
+	announceStart := func(instance string, started int64) {
+		announce(locals, table.Announcement{
 			Instance: instance, StartedAt: time.UnixMilli(started), Service: "s", Address: b.address, Slots: 4, State: table.Ready,
-		}, clk.Now())
+		})
 	}
 	send := func() {
 		s.Handle(t.Context(), &call.Call{
@@ -47,7 +47,7 @@
 			Request: &call.Request{Method: http.MethodGet, Path: "/"},
 		})
 	}
-	announce("i-1", 1)
+	announceStart("i-1", 1)
 	for range 10 {
 		send()
 	}
@@ -59,7 +59,7 @@
 	require.Equal(t, before, after, "an unchanged rate is no change of the record")
 
 	losing.Store(false)
-	announce("i-2", 2)
+	announceStart("i-2", 2)
 	send()
 	s.ReportFailures()
 	require.Zero(t, locals.FailurePermille("s"))
--- a/internal/system/serve/notice_test.go
+++ b/internal/system/serve/notice_test.go
@@ -66,9 +66,15 @@
 }
 
 func (b *limitedBackend) announce(started int64) {
-	b.locals.ApplyAnnouncement(table.Announcement{
+	announce(b.locals, table.Announcement{
 		Instance: "i", StartedAt: time.UnixMilli(started), Service: "s", Address: b.address, Slots: limitedSlots, State: table.Ready,
-	}, clock.Boot{}.Now())
+	})
+}
+
+// announce announces an instance whose health check confirms it.
+func announce(l *table.LocalBackends, a table.Announcement) {
+	l.ApplyAnnouncement(a, clock.Boot{}.Now())
+	l.ApplyHealth(a, clock.Boot{}.Now(), clock.Boot{}.Now())
 }
 
 func (b *limitedBackend) send(t *testing.T, n *call.Notice) call.Result {
--- a/internal/system/serve/sendings_test.go
+++ b/internal/system/serve/sendings_test.go
@@ -114,9 +114,7 @@
 func (b *repeatingBackend) newServer(d serve.Dialect) *serve.Server {
 	m := metric.NewSet()
 	locals := table.NewLocalBackends(time.Hour)
-	locals.ApplyAnnouncement(table.Announcement{
-		Instance: "i", StartedAt: time.UnixMilli(1), Service: "s", Address: b.address, Slots: 50, State: table.Ready,
-	}, clock.Boot{}.Now())
+	locals.ApplyHealth(table.Announcement{Instance: "i", Service: "s", Address: b.address, Slots: 50, State: table.Ready}, 1, clock.Boot{}.Now())
 	return serve.New(clock.Boot{}, table.NewCalls(), locals, fence.New(clock.Boot{}), d, memory.NewBudget(64<<20, m), m, logging.RequestLog(zerolog.Nop()))
 }
 
--- a/internal/table/local_backends.go
+++ b/internal/table/local_backends.go
@@ -41,17 +41,31 @@
 	Instance  string
 	StartedAt time.Time
 	Sequence  uint64
+	// Departed is set once the instance has announced its departure, after which no announcement
+	// of the same start counts.
+	Departed bool
 	// LastHeard is when the backend server last announced itself.
 	LastHeard clock.Time
 }
 
 // LocalBackends is the table of this VM's backend servers, one per service. It is safe for
 // concurrent use.
+//
+// An announcement may arrive seconds late, and an earlier process of this node may have
+// acknowledged the departure of its instance since. An instance that this process does not know
+// to be alive is therefore a candidate until its health check has confirmed it. Candidates are
+// neither in the rows nor known to other nodes.
 type LocalBackends struct {
 	timeout time.Duration
+	// candidateAdded receives a value when there is a new candidate.
+	candidateAdded chan struct{}
 
 	mu   sync.RWMutex
 	rows map[string]LocalBackend
+	// candidates holds, by service, the instance that waits for its health check.
+	candidates map[string]*candidate
+	// departures holds, by instance ID, the departures that this process knows of.
+	departures map[string]departure
 	// failurePermille holds, by service, the part of its calls that the backend server fails.
 	failurePermille map[string]int
 	changes         uint64
@@ -60,7 +74,10 @@
 // NewLocalBackends returns an empty table. A backend server that has not announced itself
 // for the timeout gets no new calls.
 func NewLocalBackends(timeout time.Duration) *LocalBackends {
-	return &LocalBackends{timeout: timeout, rows: map[string]LocalBackend{}, failurePermille: map[string]int{}}
+	return &LocalBackends{
+		timeout: timeout, candidateAdded: make(chan struct{}, 1), rows: map[string]LocalBackend{},
+		candidates: map[string]*candidate{}, departures: map[string]departure{}, failurePermille: map[string]int{},
+	}
 }
 
 // HasTimedOut reports whether the last announcement of a backend server is older than the
@@ -69,37 +86,45 @@
 	return now.Sub(l.LastHeard) > t.timeout
 }
 
-// maxAnnouncementDelay is how much later than its sender left an announcement may arrive.
-const maxAnnouncementDelay = 10 * time.Second
+// Acceptance is what became of an announcement.
+type Acceptance uint8
+
+// The acceptances.
+const (
+	// Outdated means that what is known is newer: a later start, a later announcement since
+	// the same start, or the departure of the instance. Nothing changes.
+	Outdated Acceptance = iota
+	// Applied means that the table tells what was announced.
+	Applied
+	// Unconfirmed means that the instance is a candidate now.
+	Unconfirmed
+)
 
-// ApplyAnnouncement applies an announcement. It returns false and changes nothing if what
-// is known is newer: a later start, a later announcement since the same start, or the
-// departure of the instance. If the start of a departed instance is not known, its
-// announcements are taken for late ones until maxAnnouncementDelay after the departure.
-func (t *LocalBackends) ApplyAnnouncement(a Announcement, now clock.Time) bool {
+// ApplyAnnouncement applies an announcement and returns what became of it.
+func (t *LocalBackends) ApplyAnnouncement(a Announcement, now clock.Time) Acceptance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, known := t.rows[a.Service]
-	if known && (!a.newer(old) || a.mayPrecedeDeparture(old, now)) {
-		return false
+	if t.hasDeparted(&a) || known && !a.newer(old) {
+		return Outdated
 	}
-	t.put(a, now)
-	return true
-}
-
-// AddDiscovered adds a backend server that this node has found by itself. It returns false
-// and changes nothing if a backend server of the service is already known.
-func (t *LocalBackends) AddDiscovered(a Announcement, now clock.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if _, known := t.rows[a.Service]; known {
-		return false
+	isKnownInstance := known && !old.Departed && a.isFrom(old)
+	if a.State != Draining && (!isKnownInstance || t.HasTimedOut(old, now)) {
+		return t.addCandidate(a, now)
+	}
+	if a.State == Draining {
+		t.removeCandidate(a.Service, a.Instance)
+		if known && !isKnownInstance && !a.StartedAt.After(old.StartedAt) {
+			// Nothing tells which of the two instances is the later one, and only the known one
+			// can get calls.
+			return Outdated
+		}
 	}
 	t.put(a, now)
-	return true
+	return Applied
 }
 
-// put replaces the row of a service. The caller holds t.mu.
+// put replaces the row of a service by what was announced. The caller holds t.mu.
 func (t *LocalBackends) put(a Announcement, now clock.Time) {
 	old, known := t.rows[a.Service]
 	l := LocalBackend{
@@ -109,42 +134,45 @@
 	if a.State == Ready && a.WarmUpRemaining > 0 {
 		l.State = Warming
 	}
+	if known && l.StartedAt.IsZero() && a.Instance == old.Instance {
+		l.StartedAt = old.StartedAt
+	}
 	t.rows[a.Service] = l
 	if !known || old.State != l.State || old.Instance != l.Instance || !old.StartedAt.Equal(l.StartedAt) || old.Slots != l.Slots {
 		t.changes++
 	}
 }
 
-// newer reports whether a replaces the known backend server of its service.
+// newer reports whether a may replace the known backend server of its service. Instances of which
+// one start is not known cannot be ordered; the health check then decides.
 func (a *Announcement) newer(old LocalBackend) bool {
-	if !a.StartedAt.Equal(old.StartedAt) {
+	switch {
+	case !a.StartedAt.IsZero() && !old.StartedAt.IsZero() && !a.StartedAt.Equal(old.StartedAt):
 		return a.StartedAt.After(old.StartedAt)
+	case a.Instance != old.Instance:
+		return true
+	case old.Departed:
+		return a.StartedAt.IsZero() || old.StartedAt.IsZero()
 	}
-	return a.Instance != old.Instance || a.Sequence > old.Sequence
+	return a.Sequence > old.Sequence || old.StartedAt.IsZero() && !a.StartedAt.IsZero()
 }
 
-// mayPrecedeDeparture reports whether a may be from before the departure of an instance whose start
-// is not known.
-func (a *Announcement) mayPrecedeDeparture(old LocalBackend, now clock.Time) bool {
-	return old.Sequence == departedSequence && old.StartedAt.IsZero() && a.Instance == old.Instance &&
-		now.Sub(old.LastHeard) < maxAnnouncementDelay
+// isFrom reports whether a may be from the start of the instance that l is. An unknown start
+// matches any.
+func (a *Announcement) isFrom(l LocalBackend) bool {
+	return a.Instance == l.Instance && (a.StartedAt.IsZero() || l.StartedAt.IsZero() || a.StartedAt.Equal(l.StartedAt))
 }
 
-// departedSequence is the sequence of an instance that has announced its departure. It is
-// the highest value, so that no announcement since the same start is newer.
-const departedSequence = ^uint64(0)
-
 // ApplyDeparture records that an instance is gone. It returns false if no backend server
 // here is that instance with that start time. A departure without a start time matches any
 // start of the instance, and one without a service any service.
 func (t *LocalBackends) ApplyDeparture(a Announcement, now clock.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	departed := departure{startedAt: a.StartedAt, at: now}
+	matched := false
 	for service, l := range t.rows {
-		if a.Service != "" && a.Service != service {
-			continue
-		}
-		if l.Instance != a.Instance || !a.StartedAt.IsZero() && !l.StartedAt.IsZero() && !a.StartedAt.Equal(l.StartedAt) {
+		if a.Service != "" && a.Service != service || !a.isFrom(l) {
 			continue
 		}
 		if l.State != Draining {
@@ -153,11 +181,12 @@
 		if l.StartedAt.IsZero() {
 			l.StartedAt = a.StartedAt
 		}
-		l.State, l.Sequence, l.LastHeard = Draining, departedSequence, now
+		l.State, l.Departed, l.LastHeard = Draining, true, now
 		t.rows[service] = l
-		return true
+		departed.startedAt, matched = l.StartedAt, true
 	}
-	return false
+	t.recordDeparture(a.Instance, departed)
+	return matched
 }
 
 // Set replaces the row of a service and reports whether anything but LastHeard changed.
@@ -202,19 +231,24 @@
 	return l, ok
 }
 
-// Expire removes the backend servers that have timed out and reports whether there were
-// any. One that has announced its departure is kept, so that an announcement that arrives
-// late is recognized as old.
+// Expire removes the backend servers and candidates that have timed out and reports whether
+// there were any backend servers. One that has announced its departure is kept, so that its
+// calls are still refused as those of a leaving one.
 func (t *LocalBackends) Expire(now clock.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	removed := false
 	for s, l := range t.rows {
-		if t.HasTimedOut(l, now) && l.Sequence != departedSequence {
+		if t.HasTimedOut(l, now) && !l.Departed {
 			delete(t.rows, s)
 			removed = true
 		}
 	}
+	for s, c := range t.candidates {
+		if now.Sub(c.announcedAt) > t.timeout {
+			delete(t.candidates, s)
+		}
+	}
 	if removed {
 		t.changes++
 	}
--- a/test/standin/instance/instance.go
+++ b/test/standin/instance/instance.go
@@ -4,6 +4,7 @@
 package instance
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -11,7 +12,7 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,8 +30,13 @@
 	DropAnswer bool
 	// ForeignAnswer sends an answer with the ID of another attempt before each answer.
 	ForeignAnswer bool
-	// TruncateAnswer closes the connection before the last bytes of an answer.
-	TruncateAnswer bool
+	// TruncateAnswer closes the connection before the last bytes of an answer, TruncateHead within
+	// the line that ends its head.
+	TruncateAnswer, TruncateHead bool
+	// ShedEvery refuses every n-th request if it isn't 0.
+	ShedEvery uint64
+	// RepeatAfter sends each answer once more on its connection after this time, if it isn't 0.
+	RepeatAfter time.Duration
 }
 
 // Run is a request that was run.
@@ -49,16 +55,27 @@
 	faults atomic.Pointer[Faults]
 	// rateLimit is the rate limit that the answers name, in requests a second; 0 is none.
 	rateLimit atomic.Uint64
-	// leaving is set if the answers say that the instance is leaving.
-	leaving  atomic.Bool
-	sequence atomic.Uint64
-	server   *http.Server
+	// leaving is set if the answers say that the instance is leaving, draining if its health check
+	// does.
+	leaving, draining atomic.Bool
+	sequence          atomic.Uint64
+	// requests is the number of requests but health checks that have arrived.
+	requests atomic.Uint64
+	listener net.Listener
 
-	mu      sync.Mutex
-	runs    []Run
-	subCall *SubCall
+	mu          sync.Mutex
+	runs        []Run
+	subCall     *SubCall
+	connections map[net.Conn]bool
+	closed      bool
 }
 
+// HealthPath is the path of the health check.
+const HealthPath = "/health"
+
+// slots is the number of slots that the instance announces.
+const slots = 8
+
 // SubCall is a call that the instance makes through its node for each request it runs.
 type SubCall struct {
 	// Outbound is the IP:port of the node's listener for outgoing calls.
@@ -68,19 +85,52 @@
 // Start starts an instance that serves requests at address and sends its announcements to
 // the node's listener at control, both IP:port.
 func Start(id, service, address, control string) (*Instance, error) {
-	i := &Instance{ID: id, Service: service, Address: address, Control: control, StartedAt: time.Now()}
+	i := &Instance{
+		ID: id, Service: service, Address: address, Control: control, StartedAt: time.Now(), connections: map[net.Conn]bool{},
+	}
 	i.faults.Store(&Faults{})
-	lis, err := net.Listen("tcp", address)
-	if err != nil {
+	var err error
+	if i.listener, err = net.Listen("tcp", address); err != nil {
 		return nil, err
 	}
-	i.server = &http.Server{Handler: http.HandlerFunc(i.serve)}
-	go func() { _ = i.server.Serve(lis) }()
+	go i.accept()
 	return i, nil
 }
 
 // Close stops the instance without telling the node.
-func (i *Instance) Close() { _ = i.server.Close() }
+func (i *Instance) Close() {
+	_ = i.listener.Close()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.closed = true
+	for c := range i.connections {
+		_ = c.Close()
+	}
+}
+
+// accept serves each connection by a goroutine of its own, since net/http can't send truncated or
+// additional answers and keep the connection.
+func (i *Instance) accept() {
+	for {
+		c, err := i.listener.Accept()
+		if err != nil {
+			return
+		}
+		i.mu.Lock()
+		if i.closed {
+			_ = c.Close()
+		}
+		i.connections[c] = true
+		i.mu.Unlock()
+		go func() {
+			i.serveConn(c)
+			_ = c.Close()
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			delete(i.connections, c)
+		}()
+	}
+}
 
 // SetFaults replaces the simulated faults.
 func (i *Instance) SetFaults(f Faults) { i.faults.Store(&f) }
@@ -107,21 +157,38 @@
 
 // Announce sends one announcement with the state and returns the HTTP status of the answer.
 func (i *Instance) Announce(state string) (int, error) {
+	return i.SendAnnouncement(i.Announcement(state))
+}
+
+// Announcement returns the body of the next announcement.
+func (i *Instance) Announcement(state string) []byte {
+	if state != "ready" {
+		i.draining.Store(true)
+	}
 	body, err := json.Marshal(map[string]any{
 		"address": i.Address,
-		"info":    map[string]any{"service": i.Service, "version": "v1", "zone": "z", "slots": 8},
+		"info":    map[string]any{"service": i.Service, "version": "v1", "zone": "z", "slots": slots},
 		"status":  map[string]any{"state": state, "sequence": i.sequence.Add(1), "coldRemainingMs": 0},
 		"born":    i.StartedAt.UnixMilli(),
 	})
 	if err != nil {
-		return 0, err
+		panic("encoding an announcement: " + err.Error())
 	}
+	return body
+}
+
+// SendAnnouncement sends the body of an announcement, which may be an earlier one, and returns the HTTP
+// status of the answer.
+func (i *Instance) SendAnnouncement(body []byte) (int, error) {
 	return i.sendControl(http.MethodPut, body)
 }
 
 // Deregister tells the node that the instance is gone and returns the HTTP status of the
 // answer.
-func (i *Instance) Deregister() (int, error) { return i.sendControl(http.MethodDelete, nil) }
+func (i *Instance) Deregister() (int, error) {
+	i.draining.Store(true)
+	return i.sendControl(http.MethodDelete, nil)
+}
 
 func (i *Instance) sendControl(method string, body []byte) (int, error) {
 	req, err := http.NewRequest(method, "http://"+i.Control+"/comfreycart/instances/"+i.ID, bytes.NewReader(body))
@@ -148,30 +215,100 @@
 	}
 }
 
-func (i *Instance) serve(w http.ResponseWriter, r *http.Request) {
+// serveConn serves the requests of a connection one after the other. A request ends early if its
+// connection closes.
+func (i *Instance) serveConn(c net.Conn) {
+	in, out := bufio.NewReader(c), &lockedWriter{conn: c}
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		next := make(chan struct{})
+		go func() {
+			defer close(next)
+			if _, err := in.Peek(1); err != nil {
+				cancel()
+			}
+		}()
+		keep := i.serve(ctx, r, string(body), out)
+		if keep {
+			<-next
+		}
+		cancel()
+		if !keep {
+			return
+		}
+	}
+}
+
+// lockedWriter writes whole answers to a connection.
+type lockedWriter struct {
+	conn net.Conn
+	mu   sync.Mutex
+}
+
+func (w *lockedWriter) write(text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, _ = io.WriteString(w.conn, text)
+}
+
+// serve answers one request and reports whether the connection is kept.
+func (i *Instance) serve(ctx context.Context, r *http.Request, body string, out *lockedWriter) (keep bool) {
+	if r.Method == http.MethodGet && r.URL.Path == HealthPath {
+		out.write(i.healthAnswer())
+		return true
+	}
 	f := *i.faults.Load()
 	attempt := r.Header.Get("Attempt-Id")
-	w.Header().Set("Attempt-Id", attempt)
-	if want := r.Header.Get("Expected-Instance"); want != "" && want != i.ID {
-		w.Header().Set("Instance-Id", i.ID)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if f.Shed {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
+	n := i.requests.Add(1)
+	answer := ""
+	switch want := r.Header.Get("Expected-Instance"); {
+	case want != "" && want != i.ID:
+		answer = responseHead(http.StatusMisdirectedRequest, attempt, "Instance-Id: "+i.ID+"\r\n", 0)
+	case f.Shed, f.ShedEvery > 0 && n%f.ShedEvery == 0:
+		answer = responseHead(http.StatusServiceUnavailable, attempt, "Not-Executed: 1\r\n", 0)
+	default:
+		i.recordRun(r, body)
+		if !i.execute(ctx, r, f.Delay) {
+			answer = responseHead(http.StatusInternalServerError, attempt, "", 0)
+			break
+		}
+		if f.DropAnswer {
+			return false
+		}
+		answer = i.answer(attempt, f)
+		switch {
+		case f.TruncateHead:
+			head, _, _ := strings.Cut(answer, "\r\n\r\n")
+			out.write(head + "\r\n\r")
+			return false
+		case f.TruncateAnswer:
+			out.write(answer[:len(answer)-3])
+			return false
+		}
 	}
-	i.recordRun(r, string(body))
-	if !i.execute(r, f.Delay) {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
+	out.write(answer)
+	if f.RepeatAfter > 0 {
+		time.AfterFunc(f.RepeatAfter, func() { out.write(answer) })
 	}
-	i.writeAnswer(w, attempt, f)
+	return true
+}
+
+// healthAnswer returns the answer to a health check.
+func (i *Instance) healthAnswer() string {
+	status := http.StatusOK
+	if i.draining.Load() || i.leaving.Load() {
+		status = http.StatusServiceUnavailable
+	}
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nInstance-Id: %s\r\nServer-Load: 0,0,%d\r\nContent-Length: 0\r\n\r\n",
+		status, http.StatusText(status), i.ID, slots)
 }
 
 func (i *Instance) recordRun(r *http.Request, body string) {
@@ -185,10 +322,10 @@
 
 // execute runs a request for the delay, makes the sub-call if one is set, and reports
 // whether both succeeded.
-func (i *Instance) execute(r *http.Request, delay time.Duration) bool {
+func (i *Instance) execute(ctx context.Context, r *http.Request, delay time.Duration) bool {
 	select {
 	case <-time.After(delay):
-	case <-r.Context().Done():
+	case <-ctx.Done():
 		return false
 	}
 	i.mu.Lock()
@@ -197,7 +334,7 @@
 	if call == nil {
 		return true
 	}
-	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+call.Outbound+call.Path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+call.Outbound+call.Path, nil)
 	if err != nil {
 		return false
 	}
@@ -213,42 +350,29 @@
 	return err == nil && resp.StatusCode == http.StatusOK
 }
 
-// writeAnswer writes to the hijacked connection, since net/http can't send truncated or
-// additional answers.
-func (i *Instance) writeAnswer(w http.ResponseWriter, attempt string, f Faults) {
+// answer returns the answer to a request that ran.
+func (i *Instance) answer(attempt string, f Faults) string {
 	status := f.Status
 	if status == 0 {
 		status = http.StatusOK
 	}
-	conn, buf, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	if f.DropAnswer {
-		return
-	}
 	body := "answer to " + attempt + " of " + i.ID
-	notice := ""
+	lines := "Response-Seal: seal\r\n"
 	if rate := i.rateLimit.Load(); rate > 0 {
-		notice = fmt.Sprintf("Server-Limit: %d\r\n", rate)
+		lines += fmt.Sprintf("Server-Limit: %d\r\n", rate)
 	}
 	if i.leaving.Load() {
-		notice += "Server-Leaving: 1\r\n"
+		lines += "Server-Leaving: 1\r\n"
 	}
+	text := responseHead(status, attempt, lines, len(body)) + body
 	if f.ForeignAnswer {
-		_, _ = buf.WriteString(responseHead(http.StatusOK, "someone-else", "", len("foreign"), "keep-alive") + "foreign")
-	}
-	text := responseHead(status, attempt, notice, len(body), "close") + body
-	if f.TruncateAnswer {
-		text = text[:len(text)-3]
+		text = responseHead(http.StatusOK, "someone-else", "Response-Seal: seal\r\n", len("foreign")) + "foreign" + text
 	}
-	_, _ = buf.WriteString(text)
-	_ = buf.Flush()
+	return text
 }
 
-// responseHead returns the head of an answer. notice holds further header lines.
-func responseHead(status int, attempt, notice string, length int, connection string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\n%sResponse-Seal: seal\r\nConnection: %s\r\nContent-Length: %s\r\n\r\n",
-		status, http.StatusText(status), attempt, notice, connection, strconv.Itoa(length))
+// responseHead returns the head of an answer. lines holds further header lines.
+func responseHead(status int, attempt, lines string, length int) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n",
+		status, http.StatusText(status), attempt, lines, length)
 }
