Check each number of each input against its range

What callers saw: 503 for calls to an endpoint after one odd heartbeat under its ID. With the highest sequence the endpoint got no calls until its node was restarted; with a far larger sequence or start none for 9 s at a time.

Cause: numbers were checked by their type and used as they came, and the highest sequence also marked a departure. The class: a number outside of the range that the code computes with, from any input.

Evidence: odd heartbeats played against the listener of: sequence 2^64-1, 2^53+1, born 2^53-1, 2^63-1 slots and a warm-up of 1e300 ms are answered 200; with the first the row stays for an hour and later heartbeats are old. Nesting is refused.

Why this works: each number meets a named range where it enters, before any conversion. Required fields of a heartbeat must be there.

The slots and connections of a service in the settings are bounded by 65,536 now, as those of announcements.

--- a/internal/api/announce/announce.go
+++ b/internal/api/announce/announce.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
@@ -77,6 +78,9 @@
 		return
 	}
 	a, err := h.codec.Heartbeat(r.PathValue("id"), body)
+	if err == nil {
+		err = a.Validate(time.Now())
+	}
 	if err != nil {
 		h.rejectInvalid(w, err)
 		return
@@ -125,6 +129,9 @@
 		return
 	}
 	a, err := h.codec.Departure(r.PathValue("id"), body)
+	if err == nil {
+		err = a.ValidateStart(time.Now())
+	}
 	if err != nil {
 		h.rejectInvalid(w, err)
 		return
--- a/internal/api/backend/backend.go
+++ b/internal/api/backend/backend.go
@@ -113,11 +113,11 @@
 			a.Connections = s.Connections
 		}
 	}
-	if a.Slots < 1 {
-		return "/slots", "must be at least 1, here or in the service's settings"
+	if a.Slots < 1 || a.Slots > call.MaxSlots {
+		return "/slots", fmt.Sprintf("must be from 1 to %d, here or in the service's settings", call.MaxSlots)
 	}
-	if a.Connections < 0 {
-		return "/connections", "must not be negative"
+	if a.Connections < 0 || a.Connections > call.MaxSlots {
+		return "/connections", fmt.Sprintf("must be from 0 to %d", call.MaxSlots)
 	}
 	return "", ""
 }
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -73,6 +73,16 @@
 	Body   []byte
 }
 
+// MaxSlots is the largest number of slots of one backend server, and of calls that it may report as
+// running or waiting.
+const MaxSlots = 1 << 16
+
+// IsFinalStatus reports whether status is that of a final HTTP response.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+// maxStatus is the largest status that HTTP defines.
+const maxStatus = 599
+
 // Call is one hop of a request: from a caller or a backend server to a service.
 type Call struct {
 	ID       ID
--- a/internal/call/notice.go
+++ b/internal/call/notice.go
@@ -17,6 +17,12 @@
 	Leaving bool
 }
 
+// MaxRate is the largest rate limit, in requests a second.
+const MaxRate = 1e9
+
+// IsRate reports whether rate is a rate limit: a number from 0 to MaxRate.
+func IsRate(rate float64) bool { return rate >= 0 && rate <= MaxRate }
+
 // IsFrom reports whether an instance with the given ID and start has stated the notice. An unknown
 // start matches any.
 func (n *Notice) IsFrom(instance string, startedAt time.Time) bool {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -168,8 +168,8 @@
 	if n.Mesh == nil && len(n.AdminTokenSHA256) != 64 {
 		return &Error{"/adminTokenSha256", "want a SHA-256 in hexadecimal"}
 	}
-	if n.DrainMs < 0 {
-		return &Error{"/drainMs", "must not be negative"}
+	if n.DrainMs < 0 || n.DrainMs > maxTimeMs {
+		return &Error{"/drainMs", fmt.Sprintf("must be from 0 to %d", maxTimeMs)}
 	}
 	return nil
 }
@@ -225,8 +225,8 @@
 	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
 		return &Error{"/platform/url", fmt.Sprintf("%q: want an http or https URL", n.Platform.URL)}
 	}
-	if n.Platform.TimeoutMs < 0 {
-		return &Error{"/platform/timeoutMs", "must not be negative"}
+	if n.Platform.TimeoutMs < 0 || n.Platform.TimeoutMs > maxTimeMs {
+		return &Error{"/platform/timeoutMs", fmt.Sprintf("must be from 0 to %d", maxTimeMs)}
 	}
 	return nil
 }
--- a/internal/config/mesh.go
+++ b/internal/config/mesh.go
@@ -42,6 +42,16 @@
 	DefaultMemoryMB          = 256
 )
 
+// Upper bounds of numbers in the file.
+const (
+	// maxTimeMs bounds times, in milliseconds: one day.
+	maxTimeMs = 24 * 3600 * 1000
+	// maxRetries bounds the retries per request and in addition.
+	maxRetries = 1e6
+	// maxMemoryMB bounds the memory, in MiB: 1 TiB.
+	maxMemoryMB = 1 << 20
+)
+
 // maxMissedHeartbeats is how many heartbeats in a row may be missing before a backend server gets
 // no new requests. It is this high because heartbeats may arrive seconds late, and because a dead
 // backend server is noticed anyway: it refuses connections.
@@ -109,17 +119,16 @@
 		return &Error{"/mesh/domains", "is required"}
 	}
 	numbers := []struct {
-		path  string
-		value float64
+		path       string
+		value, max float64
 	}{
-		{"/mesh/heartbeatMs", float64(m.HeartbeatMs)}, {"/mesh/keyStalenessMs", float64(m.KeyStalenessMs)},
-		{"/mesh/stopSeconds", m.StopSeconds}, {"/mesh/retryRatio", m.RetryRatio},
-		{"/mesh/retryReserve", m.RetryReserve},
-		{"/mesh/memoryMb", float64(m.MemoryMB)},
+		{"/mesh/heartbeatMs", float64(m.HeartbeatMs), maxTimeMs}, {"/mesh/keyStalenessMs", float64(m.KeyStalenessMs), maxTimeMs},
+		{"/mesh/stopSeconds", m.StopSeconds, maxTimeMs / 1000}, {"/mesh/retryRatio", m.RetryRatio, maxRetries},
+		{"/mesh/retryReserve", m.RetryReserve, maxRetries}, {"/mesh/memoryMb", float64(m.MemoryMB), maxMemoryMB},
 	}
 	for _, x := range numbers {
-		if x.value < 0 {
-			return &Error{x.path, "must not be negative"}
+		if !(x.value >= 0 && x.value <= x.max) {
+			return &Error{x.path, fmt.Sprintf("must be from 0 to %g", x.max)}
 		}
 	}
 	return nil
--- a/internal/node/provide_mesh.go
+++ b/internal/node/provide_mesh.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		log.Warn().Err(err).Msg("incarnation of the previous start and contacts are unknown")
 	}
+	if len(rows.Invalid) > 0 {
+		log.Warn().Strs("rows", rows.Invalid).Msg("members' rows cannot be decoded")
+	}
 	return rows
 }
 
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -12,6 +11,16 @@
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
+// maxTime is the longest time that a peer's message may state, in either direction. It exceeds all
+// deadlines and waits. Longer ones are reduced to it.
+const maxTime = time.Hour
+
+// Bounds of numbers in a peer's message. Larger ones are reduced to them.
+const (
+	maxAllowance = 1 << 10
+	maxDepth     = 1 << 10
+)
+
 // maxRecordAgeMs is the maximum age in milliseconds that is accepted for a peer's record of
 // a member: one year. Larger ages are reduced to it.
 const maxRecordAgeMs = 366 * 24 * 3600 * 1000
@@ -45,10 +54,16 @@
 	}
 }
 
+// timeOf returns n units as a duration from -maxTime to maxTime.
+func timeOf(n int64, unit time.Duration) time.Duration {
+	bound := int64(maxTime / unit)
+	return time.Duration(max(-bound, min(n, bound))) * unit
+}
+
 // callFromProto converts a protobuf message to a call. It returns nil if the ID is malformed,
-// the request is missing or the priority is unknown.
+// the request is missing, the priority is unknown or the limit of the answer is negative.
 func callFromProto(p *peerpb.CallRequest, now clock.Time) *call.Call {
-	if len(p.Id) != len(call.ID{}) || p.Request == nil || p.Priority >= uint32(call.NumPriorities) {
+	if len(p.Id) != len(call.ID{}) || p.Request == nil || p.Priority >= uint32(call.NumPriorities) || p.AnswerLimitBytes < 0 {
 		return nil
 	}
 	return &call.Call{
@@ -58,10 +73,10 @@
 		Route:           p.Route,
 		Priority:        call.Priority(p.Priority),
 		Idempotent:      p.Idempotent,
-		Deadline:        now.Add(time.Duration(p.TimeoutUs) * time.Microsecond),
-		RetryAllowance:  int(p.Allowance),
-		Depth:           int(p.Depth),
-		ServiceTimeUsed: time.Duration(p.SpentUs) * time.Microsecond,
+		Deadline:        now.Add(timeOf(p.TimeoutUs, time.Microsecond)),
+		RetryAllowance:  min(max(int(p.Allowance), 0), maxAllowance),
+		Depth:           min(max(int(p.Depth), 0), maxDepth),
+		ServiceTimeUsed: max(0, timeOf(p.SpentUs, time.Microsecond)),
 		AnswerLimit:     p.AnswerLimitBytes,
 		RequestID:       p.Tag,
 		Notice:          noticeFromProto(p.Notice),
@@ -101,12 +116,15 @@
 }
 
 // resultFromProto converts a reply to a result. It returns false if the reply belongs to
-// another call or does not have exactly one of answer and failure. The unused allowance is
-// limited to the allowance that was sent.
+// another call, does not have exactly one of answer and failure, or the answer has no valid status.
+// The unused allowance is limited to the allowance that was sent.
 func resultFromProto(id call.ID, p *peerpb.CallReply, allowance int) (call.Result, bool) {
 	if call.ID(validIDOrZero(p.Id)) != id || (p.Answer == nil) == (p.Failure == nil) {
 		return call.Result{}, false
 	}
+	if p.Answer != nil && !call.IsFinalStatus(int(p.Answer.Status)) {
+		return call.Result{}, false
+	}
 	r := call.Result{UnusedRetries: min(max(int(p.Unused), 0), allowance), Overloaded: p.Overloaded, SubCallFailed: p.FailedBelow}
 	r.Answer = AnswerFromProto(p.Answer)
 	if f := p.Failure; f != nil {
@@ -114,8 +132,8 @@
 	}
 	if f := p.Feedback; f != nil {
 		r.Feedback = &call.Feedback{
-			Threshold:  call.Priority(f.Threshold),
-			ShareMilli: f.ShareMilli,
+			Threshold:  call.Priority(min(f.Threshold, uint32(call.Critical))),
+			ShareMilli: min(f.ShareMilli, 1000),
 			InFlight:   f.InFlight,
 			Limit:      f.Limit,
 			Queued:     f.Queued,
@@ -137,8 +155,8 @@
 	return p
 }
 
-// noticeFromProto converts a protobuf message to a notice; nil stays nil. A rate that is not a
-// finite number of at least 0 makes the notice one without a rate limit.
+// noticeFromProto converts a protobuf message to a notice; nil stays nil. A rate that is out of range
+// makes the notice one without a rate limit.
 func noticeFromProto(p *peerpb.BackendNotice) *call.Notice {
 	if p == nil {
 		return nil
@@ -147,7 +165,7 @@
 	if p.StartedAtMs != 0 {
 		n.StartedAt = time.UnixMilli(p.StartedAtMs)
 	}
-	if p.RateLimited && p.Rate >= 0 && !math.IsInf(p.Rate, 0) {
+	if p.RateLimited && call.IsRate(p.Rate) {
 		n.RateLimited, n.Rate = true, p.Rate
 	}
 	return n
@@ -161,7 +179,7 @@
 		Reason:     call.Reason(p.Reason),
 		Outcome:    call.Outcome(p.Outcome),
 		Detail:     p.Detail,
-		RetryAfter: time.Duration(p.RetryAfterMs) * time.Millisecond,
+		RetryAfter: max(0, timeOf(p.RetryAfterMs, time.Millisecond)),
 	}
 	if !slices.Contains(call.Reasons, f.Reason) {
 		f.Reason = call.Internal
@@ -242,8 +260,8 @@
 	return p
 }
 
-// MemberFromProto converts a protobuf message to a member's record. It limits the age but
-// does not otherwise validate the record.
+// MemberFromProto converts a protobuf message to a member's record. It limits the age and the numbers
+// of the endpoints but does not otherwise validate the record.
 func MemberFromProto(p *peerpb.Member, now clock.Time) table.Member {
 	m := table.Member{
 		ID:           p.GetId(),
@@ -260,8 +278,8 @@
 	for _, e := range p.GetEndpoints() {
 		m.Endpoints = append(m.Endpoints, table.MemberEndpoint{
 			Service:         e.Service,
-			Slots:           int(e.Slots),
-			Connections:     int(e.Connections),
+			Slots:           int(min(e.Slots, call.MaxSlots)),
+			Connections:     int(min(e.Connections, call.MaxSlots)),
 			FailurePermille: int(min(e.FailurePermille, 1000)),
 			State:           table.EndpointState(e.State),
 		})
--- a/internal/peer/convert_test.go
+++ b/internal/peer/convert_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -51,6 +52,34 @@
 	require.Equal(t, 2, r.UnusedRetries)
 }
 
+// Numbers out of range in a peer's message are reduced to their bounds or refused.
+func TestNumbersInMessagesHaveARange(t *testing.T) {
+	p := callToProto(sampleCall(), 0, 1)
+	p.TimeoutUs, p.SpentUs, p.Allowance, p.Depth = math.MaxInt64, math.MinInt64, -1, math.MaxInt32
+	c := callFromProto(p, clock.Time(time.Second))
+	require.Equal(t, clock.Time(time.Second+maxTime), c.Deadline)
+	require.Zero(t, c.ServiceTimeUsed)
+	require.Zero(t, c.RetryAllowance)
+	require.Equal(t, maxDepth, c.Depth)
+	p.AnswerLimitBytes = -1
+	require.Nil(t, callFromProto(p, 0))
+
+	id := call.NewID()
+	for _, status := range []int{-1, 0, 100, 199, 600, 999} {
+		_, ok := resultFromProto(id, resultToProto(id, call.Result{Answer: &call.Answer{Status: status}}), 0)
+		require.False(t, ok, "status %d", status)
+	}
+	reply := resultToProto(id, call.Result{Failure: call.NewRefusal(call.QueueFull, ""), Feedback: &call.Feedback{}})
+	reply.Failure.RetryAfterMs, reply.Feedback.Threshold, reply.Feedback.ShareMilli = math.MaxInt64, 256, math.MaxUint32
+	r, ok := resultFromProto(id, reply, 0)
+	require.True(t, ok)
+	require.Equal(t, maxTime, r.Failure.RetryAfter)
+	require.Equal(t, call.Critical, r.Feedback.Threshold)
+	require.Equal(t, uint32(1000), r.Feedback.ShareMilli)
+	require.Nil(t, noticeFromProto(nil))
+	require.False(t, noticeFromProto(&peerpb.BackendNotice{RateLimited: true, Rate: math.NaN()}).RateLimited)
+}
+
 // FuzzCallFromProto checks that no message from a peer causes a panic, and that each accepted
 // call has a valid priority and a request.
 func FuzzCallFromProto(f *testing.F) {
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -94,6 +94,32 @@
 	IdleTimeout:    15 * time.Second,
 }
 
+// Upper bounds of the numbers in a Document. They are far above sensible values and keep sums and
+// conversions exact.
+const (
+	maxDocumentTime = 24 * time.Hour
+	maxEndpoints    = 1 << 10
+	maxWeight       = 1e9
+	// maxLimitBytes bounds the limits on headers and bodies.
+	maxLimitBytes = 1 << 30
+)
+
+// firstProblem returns the first limit that is out of range and what is wrong with it, or two empty
+// strings.
+func (l Limits) firstProblem() (path, problem string) {
+	switch {
+	case l.MaxHeaderBytes > maxLimitBytes:
+		return "maxHeaderBytes", fmt.Sprintf("must be at most %d", maxLimitBytes)
+	case l.MaxBodyBytes > maxLimitBytes:
+		return "maxBodyBytes", fmt.Sprintf("must be at most %d", maxLimitBytes)
+	case l.HeaderTimeout > maxDocumentTime:
+		return "headerTimeout", fmt.Sprintf("must be at most %s", maxDocumentTime)
+	case l.IdleTimeout > maxDocumentTime:
+		return "idleTimeout", fmt.Sprintf("must be at most %s", maxDocumentTime)
+	}
+	return "", ""
+}
+
 // Validate checks the whole document and returns the first problem as a
 // *ValidationError.
 func (d *Document) Validate() error {
@@ -114,6 +140,9 @@
 			return &ValidationError{Path: fmt.Sprintf("/accounts/%d/%s", i, path), Problem: problem}
 		}
 	}
+	if path, problem := d.Limits.firstProblem(); problem != "" {
+		return &ValidationError{Path: "/limits/" + path, Problem: problem}
+	}
 	if d.Version == 0 {
 		return &ValidationError{Path: "/version", Problem: "is required"}
 	}
@@ -128,12 +157,12 @@
 		return "name", "is required"
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return "prefix", fmt.Sprintf("%q: want a path that begins and ends with a slash", r.Prefix)
-	case r.Timeout <= 0:
-		return "timeout", "must be positive"
-	case r.TargetLatency < 0:
-		return "target", "must not be negative"
-	case r.MaxEndpoints < 1:
-		return "maxEndpoints", "must be at least 1"
+	case r.Timeout <= 0 || r.Timeout > maxDocumentTime:
+		return "timeout", fmt.Sprintf("must be positive and at most %s", maxDocumentTime)
+	case r.TargetLatency < 0 || r.TargetLatency > maxDocumentTime:
+		return "target", fmt.Sprintf("must be from 0 to %s", maxDocumentTime)
+	case r.MaxEndpoints < 1 || r.MaxEndpoints > maxEndpoints:
+		return "maxEndpoints", fmt.Sprintf("must be from 1 to %d", maxEndpoints)
 	case len(r.WeightedServices) == 0:
 		return "parts", "names no service"
 	}
@@ -142,8 +171,8 @@
 		if !services[w.Service] {
 			return "parts", fmt.Sprintf("%q: no such service", w.Service)
 		}
-		if w.Weight < 0 {
-			return "parts", "a weight must not be negative"
+		if !(w.Weight >= 0 && w.Weight <= maxWeight) {
+			return "parts", fmt.Sprintf("a weight must be from 0 to %g", float64(maxWeight))
 		}
 		total += w.Weight
 	}
@@ -159,10 +188,10 @@
 	switch {
 	case a.Name == "":
 		return "name", "is required"
-	case a.Rate < 0:
-		return "rate", "must not be negative"
-	case a.Burst < 0:
-		return "burst", "must not be negative"
+	case !(a.Rate >= 0 && a.Rate <= maxRate):
+		return "rate", fmt.Sprintf("must be from 0 to %g requests per second", float64(maxRate))
+	case !(a.Burst >= 0 && a.Burst <= maxRate):
+		return "burst", fmt.Sprintf("must be from 0 to %g requests", float64(maxRate))
 	case slices.Contains(a.Keys, ""):
 		return "keys", "a key must not be empty"
 	}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -33,7 +33,7 @@
 	maxDeadlineMs = 10 * 60 * 1000
 	maxRetries    = 16
 	// maxSlots bounds the slots and the connections of an endpoint.
-	maxSlots = 1 << 20
+	maxSlots = call.MaxSlots
 	// maxBodyBytes bounds the limits on request and response bodies.
 	maxBodyBytes = 64 << 20
 )
--- a/internal/system/lease/row.go
+++ b/internal/system/lease/row.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 
 	"comfreycart.dev/comfreycart/internal/clock"
 	"comfreycart.dev/comfreycart/internal/decide/escrow"
@@ -25,6 +26,21 @@
 	BucketStates map[string]escrow.BucketState `json:"estates,omitempty"`
 }
 
+// maxEpoch bounds the epoch of a row, so that there is always a next one.
+const maxEpoch = 1 << 62
+
+// decodeRow decodes a lease's row. It returns an error if its epoch is out of range.
+func decodeRow(value []byte) (row, error) {
+	var r row
+	if err := json.Unmarshal(value, &r); err != nil {
+		return row{}, err
+	}
+	if r.Epoch > maxEpoch {
+		return row{}, fmt.Errorf("epoch %d: want at most %d", r.Epoch, uint64(maxEpoch))
+	}
+	return r, nil
+}
+
 // isFromCopy reports whether a row, read with the given version, was written before the store was
 // restored. What happened to the lease since then is lost: another node may have taken it.
 func (r *row) isFromCopy(version platform.Version) bool { return r.Era < version.Era() }
@@ -70,12 +86,11 @@
 	if err != nil {
 		return err
 	}
-	var r row
-	if err := json.Unmarshal(old.Value, &r); err != nil {
+	r, err := decodeRow(old.Value)
+	if err != nil {
 		// The row was written by something else and names no holder. Its version still
 		// serves as the condition of the next write.
 		m.log.Error().Err(err).Stringer("row", old.Version).Msg("lease row cannot be decoded")
-		r = row{}
 	}
 	stopped, ok := m.predecessorStopped(ctx, old, &r)
 	if !ok {
@@ -194,7 +209,7 @@
 	}
 	var r row
 	if !isMissing {
-		if err := json.Unmarshal(stored.Value, &r); err != nil {
+		if r, err = decodeRow(stored.Value); err != nil {
 			m.log.Error().Err(err).Stringer("row", stored.Version).Msg("lease row cannot be decoded")
 		}
 	}
--- a/internal/system/membership/rows.go
+++ b/internal/system/membership/rows.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -73,6 +74,26 @@
 	SettledEra *uint64 `json:"settledEra,omitempty"`
 }
 
+// maxIncarnationAhead is how far the incarnation in a row, which is a time of day in nanoseconds, may
+// lie ahead of this node's time of day.
+const maxIncarnationAhead = 30 * 24 * time.Hour
+
+// decodeRow decodes a member's row. It returns an error if the address or the incarnation cannot be
+// one of a member.
+func decodeRow(value []byte) (memberRow, error) {
+	var row memberRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return memberRow{}, err
+	}
+	if _, err := netip.ParseAddrPort(row.Address); err != nil {
+		return memberRow{}, err
+	}
+	if last := uint64(time.Now().Add(maxIncarnationAhead).UnixNano()); row.Incarnation == 0 || row.Incarnation > last {
+		return memberRow{}, fmt.Errorf("incarnation %d: want 1 to %d", row.Incarnation, last)
+	}
+	return row, nil
+}
+
 func (m *Manager) rowKey(id string) string { return rowPrefix(m.deployment) + id }
 
 // maintainRows writes this node's row, announces the start to the contacts, reads other members' rows
@@ -207,6 +228,8 @@
 	Count      int
 	// SettledEra is the store's present era, if a member has found it settled.
 	SettledEra *uint64
+	// Invalid holds the keys of the rows that cannot be decoded.
+	Invalid []string
 }
 
 // registerDelay returns how long a node may wait before it writes its row: until then, its
@@ -230,8 +253,9 @@
 	rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
 	var near, far []string
 	for _, row := range rows {
-		var member memberRow
-		if json.Unmarshal(row.Value, &member) != nil {
+		member, err := decodeRow(row.Value)
+		if err != nil {
+			out.Invalid = append(out.Invalid, row.Key)
 			continue
 		}
 		if member.SettledEra != nil && *member.SettledEra == row.Version.Era() {
@@ -240,7 +264,6 @@
 		switch {
 		case row.Key == rowPrefix(deployment)+id:
 			out.PreviousIncarnation, out.OwnAddress = member.Incarnation, member.Address
-		case member.Address == "":
 		case member.Domain == domain:
 			near = append(near, member.Address)
 		default:
@@ -263,8 +286,8 @@
 	}
 	var ids []string
 	for _, row := range rows {
-		var member memberRow
-		if err := json.Unmarshal(row.Value, &member); err != nil {
+		member, err := decodeRow(row.Value)
+		if err != nil {
 			m.log.Warn().Err(err).Str("row", row.Key).Msg("member's row cannot be decoded")
 			continue
 		}
@@ -317,6 +340,9 @@
 	if err != nil {
 		return err
 	}
+	if len(rows.Invalid) > 0 {
+		m.log.Warn().Strs("rows", rows.Invalid).Msg("members' rows cannot be decoded")
+	}
 	m.vouch(rows)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -354,8 +380,7 @@
 	if err != nil {
 		return err
 	}
-	var member memberRow
-	if json.Unmarshal(row.Value, &member) == nil && member.Incarnation > incarnation {
+	if member, err := decodeRow(row.Value); err == nil && member.Incarnation > incarnation {
 		return nil
 	}
 	_, err = m.store.Transact(ctx, platform.Tx{
--- a/internal/system/membership/rows_test.go
+++ b/internal/system/membership/rows_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,3 +99,35 @@
 	newManagerWithDeadMember(store, rowRetention+time.Minute).deleteStaleRows(t.Context())
 	require.Contains(t, store.rows, key, "a row written during the deletion was deleted")
 }
+
+// An odd row among those of the members names no contact, and one under this node's own ID no earlier
+// start: after the highest incarnation there is none that other members would take for newer.
+func TestOddMemberRowsAreLeftOut(t *testing.T) {
+	store := &fakeStore{rows: map[string]platform.Row{}}
+	store.put("member/d/b", 7)
+	for name, value := range map[string]string{
+		"nested":         `{"address":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`,
+		"number":         `{"address":"10.0.0.2:7004","incarnation":1e400}`,
+		"fraction":       `{"address":"10.0.0.2:7004","incarnation":1.5}`,
+		"highest number": `{"address":"10.0.0.2:7004","incarnation":18446744073709551615}`,
+		"no incarnation": `{"address":"10.0.0.2:7004"}`,
+		"port":           `{"address":"10.0.0.2:70040","incarnation":7}`,
+		"no address":     `{"incarnation":7}`,
+		"bytes":          "\xff\x00",
+		"other type":     `[]`,
+		"a":              `{"address":"10.0.0.1:7004","incarnation":18446744073709551614}`,
+	} {
+		store.rows["member/d/"+name] = platform.Row{Key: "member/d/" + name, Value: []byte(value)}
+	}
+	rows, err := ReadStartRows(t.Context(), store, "d", "a", "")
+	require.NoError(t, err)
+	require.Equal(t, []string{"10.0.0.9:7004"}, rows.Contacts)
+	require.Zero(t, rows.PreviousIncarnation)
+	require.Len(t, rows.Invalid, 10)
+
+	store.put("member/d/a", uint64(time.Now().Add(time.Hour).UnixNano()))
+	rows, err = ReadStartRows(t.Context(), store, "d", "a", "")
+	require.NoError(t, err)
+	require.NotZero(t, rows.PreviousIncarnation, "the time of day may have been set back since the last start")
+	require.Less(t, rows.PreviousIncarnation, uint64(math.MaxUint64))
+}
--- a/internal/system/serve/dialect.go
+++ b/internal/system/serve/dialect.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -78,11 +77,11 @@
 func (l Load) hasRoom() bool { return l.Waiting == 0 && l.Running < l.Slots }
 
 // ParseRate parses a rate limit in requests a second. It returns an error unless the text is a
-// finite number that is not negative.
+// number from 0 to call.MaxRate.
 func ParseRate(text string) (float64, error) {
 	rate, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
-		return 0, fmt.Errorf("rate limit %q: want a number of requests a second", text)
+	if err != nil || !call.IsRate(rate) {
+		return 0, fmt.Errorf("rate limit %q: want a number of requests a second up to %g", text, float64(call.MaxRate))
 	}
 	return rate, nil
 }
--- a/internal/system/serve/exchange.go
+++ b/internal/system/serve/exchange.go
@@ -29,6 +29,7 @@
 var (
 	errTooLarge  = errors.New("answer exceeds the route's size limit")
 	errOtherCall = errors.New("answer belongs to another call")
+	errStatus    = errors.New("answer has a status that HTTP does not define")
 	errUpgrade   = errors.New("answer switches to another protocol")
 )
 
@@ -161,9 +162,13 @@
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errUpgrade
 		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
+			continue
 		}
+		if !call.IsFinalStatus(resp.StatusCode) {
+			return nil, errStatus
+		}
+		return resp, nil
 	}
 	return nil, errTooManyInterim
 }
@@ -175,7 +180,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		seconds, err := strconv.Atoi(value)
 		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
-			return time.Duration(idleTimeoutFraction * float64(time.Duration(seconds)*time.Second))
+			return time.Duration(idleTimeoutFraction * min(float64(seconds)*float64(time.Second), float64(maxIdleTimeout)))
 		}
 	}
 	return defaultIdleTimeout
@@ -218,7 +223,7 @@
 		return call.NewUnknownOutcome(call.AnswerTooLarge, "the answer of %s exceeds %d bytes", x.call.Service, x.call.AnswerLimit)
 	case errors.Is(err, memory.ErrExhausted):
 		return call.NewUnknownOutcome(call.AnswerMemory, "this node has no memory for the answer of %s", x.call.Service)
-	case errors.Is(err, errHeadTooLarge), errors.Is(err, errTooManyInterim):
+	case errors.Is(err, errHeadTooLarge), errors.Is(err, errTooManyInterim), errors.Is(err, errStatus):
 		return call.NewUnknownOutcome(call.AnswerMalformed, "the backend server of %s: %s", x.call.Service, err)
 	case errors.Is(err, errOtherCall):
 		return call.NewUnknownOutcome(call.BackendLost, "the backend server of %s answered another call", x.call.Service)
--- a/internal/system/serve/exchange_test.go
+++ b/internal/system/serve/exchange_test.go
@@ -143,6 +143,25 @@
 	require.Equal(t, int64(2), b.connections.Load())
 }
 
+// Numbers in an answer's head that HTTP does not define or that overflow.
+func TestNumbersInAnswersHaveARange(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		b := startBackend(t, func(r *http.Request, c net.Conn) {
+			_, _ = io.WriteString(c, strings.Replace(formatAnswer(r.Header.Get(HeaderCall), "x"), "200 OK", status+" X", 1))
+		})
+		_, f := runExchange(t, newPool(b.address), &NativeDialect{}, "a", "", 5*time.Second)
+		require.NotNil(t, f, status)
+		require.Equal(t, call.AnswerMalformed, f.Reason, status)
+		require.Equal(t, call.Unknown, f.Outcome)
+	}
+	for text, want := range map[string]time.Duration{
+		"timeout=10": 7 * time.Second, "timeout=9223372036854775807": time.Duration(idleTimeoutFraction * float64(maxIdleTimeout)),
+		"timeout=99999999999999999999": defaultIdleTimeout, "timeout=-1": defaultIdleTimeout, "": defaultIdleTimeout,
+	} {
+		require.Equal(t, want, usableIdleTime(http.Header{"Keep-Alive": {text}}), text)
+	}
+}
+
 func TestOutcomeIsNotRunIfNothingWasSent(t *testing.T) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/system/serve/pool.go
+++ b/internal/system/serve/pool.go
@@ -20,6 +20,8 @@
 	// defaultIdleTimeout is how long a connection may be idle and still be used again if its
 	// backend server sends no keep-alive timeout.
 	defaultIdleTimeout = 8 * time.Second
+	// maxIdleTimeout bounds the keep-alive timeout that a backend server may name.
+	maxIdleTimeout = time.Hour
 	// idleTimeoutFraction is the fraction of a backend server's keep-alive timeout after which
 	// an idle connection is not used any more, so that no request is sent just as the
 	// backend server closes the connection.
--- a/internal/table/local_backends.go
+++ b/internal/table/local_backends.go
@@ -12,23 +12,6 @@
 // interval between two checks for silent backend servers it stays below three seconds.
 const HeartbeatTimeout = 2500 * time.Millisecond
 
-// Announcement is what an instance of a backend server reports about itself.
-type Announcement struct {
-	// Instance is the ID of the instance. It may stay the same across restarts.
-	Instance string
-	// StartedAt is when the instance started, zero if it is not reported.
-	StartedAt time.Time
-	// Sequence grows with each announcement since the instance started. It is 0 for a
-	// departure, which is not part of the sequence.
-	Sequence uint64
-	Service  string
-	Address  string
-	Slots    int
-	State    EndpointState
-	// WarmUpRemaining is how much longer the instance is slow after its start.
-	WarmUpRemaining time.Duration
-}
-
 // LocalBackend is a backend server on this node's VM, as last announced.
 type LocalBackend struct {
 	Service     string
