--- a/internal/api/front/front_test.go
+++ b/internal/api/front/front_test.go
@@ -149,6 +149,27 @@
 	}
 }
 
+// A request that ends in the middle is not served, wherever it ends.
+func TestCutRequestIsNotServed(t *testing.T) {
+	for name, request := range map[string]string{
+		"no body": "GET /a/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: x\r\n\r\n",
+		"length":  "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody",
+		"chunked": "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX: y\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, handler, address := startServer(t, testLimits())
+			for n := 1; n < len(request); n++ {
+				c := dial(t, address)
+				c.send(request[:n])
+				require.NoError(t, c.Conn.(*net.TCPConn).CloseWrite())
+				_, err := io.ReadAll(c)
+				require.NoError(t, err)
+				require.Zero(t, handler.served.Load(), "cut after %q", request[:n])
+			}
+		})
+	}
+}
+
 func TestHeldBodyMemoryIsBounded(t *testing.T) {
 	l := testLimits()
 	l.MaxBodyBytes = 2 << 20
--- a/internal/system/serve/exchange_test.go
+++ b/internal/system/serve/exchange_test.go
@@ -143,6 +143,34 @@
 	require.Equal(t, int64(2), b.connections.Load())
 }
 
+// An answer that ends in the middle of its head is no answer, wherever it ends: it must not become a
+// success with an empty or short body.
+func TestAnswerCutInItsHeadIsNoAnswer(t *testing.T) {
+	for name, answer := range map[string]string{
+		"unframed":      "HTTP/1.1 200 OK\r\nComfreycart-Call: a\r\n\r\n",
+		"empty":         "HTTP/1.1 200 OK\r\nComfreycart-Call: a\r\nContent-Length: 0\r\n\r\n",
+		"length":        "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nComfreycart-Call: a\r\n\r\n",
+		"no body":       "HTTP/1.1 204 No Content\r\nComfreycart-Call: a\r\n\r\n",
+		"informational": "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nComfreycart-Call: a\r\n\r\n",
+		"continued":     "HTTP/1.1 200 OK\r\nComfreycart-Call: a\r\nX: 1\r\n 2\r\n\r\n",
+		"line feeds":    "HTTP/1.1 200 OK\nComfreycart-Call: a\nX: 1\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var end atomic.Int64
+			b := startBackend(t, func(_ *http.Request, c net.Conn) {
+				_, _ = io.WriteString(c, answer[:end.Load()])
+				_ = c.Close()
+			})
+			for n := range len(answer) {
+				end.Store(int64(n))
+				_, f := runExchange(t, newPool(b.address), &lenientDialect{}, "a", "", 5*time.Second)
+				require.NotNil(t, f, "cut after %q", answer[:n])
+				require.Equal(t, call.Unknown, f.Outcome)
+			}
+		})
+	}
+}
+
 // Numbers in an answer's head that HTTP does not define or that overflow.
 func TestNumbersInAnswersHaveARange(t *testing.T) {
 	for _, status := range []string{"000", "099", "600", "999"} {
