Soak: refusals sent twice, cut heads, departures forgotten, late and odd announcements

Five faults more, which overlap with the others: a backend server that refuses every second request and sends each answer once more a moment later, one that closes in the heads of its answers, one whose departure is acknowledged by a node that is killed before an earlier announcement arrives, announcements that arrive late, and ones with numbers out of range, which must not be accepted. One service has a health check, the other none. Older regression seeds draw from the faults that they drew from before.

Seed 5 was red at first: two rate limits of one backend server at once, of which the first one's end ended the second too, so that the check counted requests for which no limit was named. An overlapping fault is no longer started on a node where it is active; no bound was changed.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,8 @@
 	// maxRewriteDelay bounds the time until the operators have written the settings again after a
 	// restore of the store.
 	maxRewriteDelay = 500 * time.Millisecond
+	// maxRepeatDelay bounds how late a backend server sends an answer once more.
+	maxRepeatDelay = 40 * time.Millisecond
 )
 
 // drain is a backend server whose announcement that it is draining was acknowledged.
@@ -63,12 +66,16 @@
 	// kinds is the number of faultKinds that are drawn from.
 	kinds int
 
-	mu          sync.Mutex
-	busyNodes   map[*node]bool
+	mu        sync.Mutex
+	busyNodes map[*node]bool
+	// active holds the faults that are active, by name and node.
+	active      map[string]bool
 	storeBusy   bool
 	withdrawals []withdrawal
 	drains      []drain
 	limits      []rateLimit
+	// oddAccepted holds the announcements with a number out of range that a node accepted.
+	oddAccepted []string
 	// leavers are the backend servers that said only in their answers that they were leaving.
 	leavers []*instance.Instance
 	// disturbed holds, by node, when faults of the node itself ended.
@@ -168,6 +175,20 @@
 	{"store restored", true, false, func(inj *faultInjector, n, _ *node, d time.Duration) { inj.restoreStore(d) }},
 	{"rate limit", false, true, func(inj *faultInjector, n, _ *node, d time.Duration) { inj.limitRate(n, d) }},
 	{"leave", false, false, func(inj *faultInjector, n, _ *node, _ time.Duration) { inj.leaveSilently(n) }},
+	{"refusals repeated", false, true, func(inj *faultInjector, n, _ *node, d time.Duration) {
+		inj.injectBackendFaults(n, instance.Faults{ShedEvery: 2, RepeatAfter: 1 + d%maxRepeatDelay}, d)
+	}},
+	{"heads cut", false, true, func(inj *faultInjector, n, _ *node, d time.Duration) {
+		inj.injectBackendFaults(n, instance.Faults{TruncateHead: true}, d)
+	}},
+	{"departure forgotten", false, false, func(inj *faultInjector, n, _ *node, d time.Duration) { inj.departAndRestart(n, d) }},
+	{"late announcement", false, true, func(inj *faultInjector, n, _ *node, d time.Duration) {
+		i := n.currentInstance()
+		late := i.Announcement("ready")
+		time.Sleep(2 * d)
+		_, _ = i.SendAnnouncement(late)
+	}},
+	{"odd announcement", false, true, func(inj *faultInjector, n, _ *node, d time.Duration) { inj.announceOddly(n, d) }},
 }
 
 // injectIfFree injects one fault, unless its node or, for a fault of the store, the store
@@ -175,11 +196,14 @@
 func (inj *faultInjector) injectIfFree(kind int, n, other *node, duration time.Duration) {
 	f := faultKinds[kind]
 	inj.mu.Lock()
-	isBusy := inj.busyNodes[n] && !f.overlaps || f.onStore && inj.storeBusy
+	// Two rate limits of one backend server at once would end each other early.
+	active := f.name + " " + n.name
+	isBusy := inj.busyNodes[n] && !f.overlaps || f.onStore && inj.storeBusy || inj.active[active]
 	if !isBusy {
+		inj.active[active] = true
 		inj.busyNodes[n] = inj.busyNodes[n] || !f.onStore && !f.overlaps
 		inj.storeBusy = inj.storeBusy || f.onStore
-		inj.injected = append(inj.injected, f.name+" "+n.name)
+		inj.injected = append(inj.injected, active)
 	}
 	inj.mu.Unlock()
 	if isBusy {
@@ -188,6 +212,7 @@
 	f.inject(inj, n, other, duration)
 	inj.mu.Lock()
 	defer inj.mu.Unlock()
+	delete(inj.active, active)
 	if f.onStore {
 		inj.storeBusy = false
 		return
@@ -243,6 +268,53 @@
 	n.startInstance(fmt.Sprintf("i-%s-%d", n.name, n.instancesStarted))
 }
 
+// departAndRestart shuts a backend server down that deregisters at first and serves on. The node is then
+// killed, and an announcement that was on its way all the while arrives after its start.
+func (inj *faultInjector) departAndRestart(n *node, d time.Duration) {
+	i := n.currentInstance()
+	n.mu.Lock()
+	n.stopAnnouncing()
+	n.mu.Unlock()
+	late := i.Announcement("ready")
+	if status, err := i.Deregister(); err == nil && status == http.StatusOK {
+		inj.mu.Lock()
+		inj.drains = append(inj.drains, drain{n, i, time.Now()})
+		inj.mu.Unlock()
+	}
+	<-n.signal(syscall.SIGKILL)
+	n.start()
+	time.Sleep(d)
+	for begin := time.Now(); time.Since(begin) < maxFaultDuration; time.Sleep(heartbeatInterval) {
+		if status, err := i.SendAnnouncement(late); err == nil && status == http.StatusOK {
+			break
+		}
+	}
+	time.Sleep(drainServingTime)
+	n.stopInstance()
+	n.startInstance(fmt.Sprintf("i-%s-%d", n.name, n.instancesStarted))
+}
+
+// oddChanges turn an announcement into one with a number out of range.
+var oddChanges = [][2]string{
+	{`"slots":8`, `"slots":9223372036854775807`}, {`"slots":8`, `"slots":1e400`}, {`"coldRemainingMs":0`, `"coldRemainingMs":1e300`},
+	{`"sequence":`, `"sequence":18446744073709551`}, {`"born":`, `"born":99`}, {`"born":`, `"born":-`},
+}
+
+// announceOddly sends announcements with numbers out of range under the ID of the backend server.
+func (inj *faultInjector) announceOddly(n *node, d time.Duration) {
+	i := n.currentInstance()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(heartbeatInterval) {
+		for _, change := range oddChanges {
+			odd := strings.Replace(string(i.Announcement("ready")), change[0], change[1], 1)
+			if status, err := i.SendAnnouncement([]byte(odd)); err == nil && status == http.StatusOK {
+				inj.mu.Lock()
+				inj.oddAccepted = append(inj.oddAccepted, odd)
+				inj.mu.Unlock()
+			}
+		}
+	}
+}
+
 // leaveSilently shuts a backend server down that says only in its answers that it is leaving.
 func (inj *faultInjector) leaveSilently(n *node) {
 	i := n.currentInstance()
@@ -312,7 +384,7 @@
 	"routes":{"columns":["name","host","prefix","kind","timeoutMs","targetLatencyMs","priority","maxAttempts","public","service"],"rows":[
 	["safe","h","/safe/","safe",1200,1000,2,2,false,"front"],
 	["unsafe","h","/unsafe/","unsafe",1200,1000,0,2,false,"deep"]]},
-	"services":{"columns":["name"],"rows":[["front"],["deep"]]},
+	"services":{"columns":["name","healthPath"],"rows":[["front",%q],["deep",null]]},
 	"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],"rows":[
-	["large",%s,1,1000,1000],["small",%s,1,%d,%d]]}}`, inj.settingsVersion, lastTwoKeys("large"), lastTwoKeys("small"), smallRatePerS, smallBurst))
+	["large",%s,1,1000,1000],["small",%s,1,%d,%d]]}}`, inj.settingsVersion, instance.HealthPath, lastTwoKeys("large"), lastTwoKeys("small"), smallRatePerS, smallBurst))
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -42,8 +42,11 @@
 	limitSlack       = 5
 )
 
-// firstKinds is the number of faults that the older regression seeds draw from.
-const firstKinds = 22
+// firstKinds and secondKinds are the numbers of faults that the older regression seeds draw from.
+const (
+	firstKinds  = 22
+	secondKinds = 25
+)
 
 // regressionSeeds are the seeds that CI runs: some that pass, and each that ever failed, with the cause
 // of its failure and the number of faults that it draws from.
@@ -55,8 +58,10 @@
 	{1, "none", firstKinds},
 	{2, "none", firstKinds},
 	{134, "connections between nodes that carried no more data were reused repeatedly", firstKinds},
-	{3, "none", len(faultKinds)},
-	{4, "none", len(faultKinds)},
+	{3, "none", secondKinds},
+	{4, "none", secondKinds},
+	{5, "none", len(faultKinds)},
+	{6, "none", len(faultKinds)},
 }
 
 // TestSoak runs the regression seeds.
@@ -94,7 +99,7 @@
 func runSeed(t *testing.T, seed uint64, kinds, size int, duration time.Duration) {
 	f := newFleet(t, size)
 	c := newCallers(f, map[string][]string{"large": {"large-0", "large-1"}, "small": {"small-0", "small-1"}})
-	inj := &faultInjector{f: f, callers: c, rng: rand.New(rand.NewPCG(seed, 1)), kinds: kinds, busyNodes: map[*node]bool{}, disturbed: map[*node][]time.Time{}}
+	inj := &faultInjector{f: f, callers: c, rng: rand.New(rand.NewPCG(seed, 1)), kinds: kinds, busyNodes: map[*node]bool{}, active: map[string]bool{}, disturbed: map[*node][]time.Time{}}
 	inj.putSettings()
 	f.awaitServed(c, readyTimeout)
 	c.start(seed)
@@ -173,6 +178,9 @@
 	}
 	checkRate(t, small)
 	checkDrains(t, inj.drains)
+	for _, accepted := range inj.oddAccepted {
+		t.Errorf("an announcement with a number out of range was accepted: %s", accepted)
+	}
 	checkRateLimits(t, f, inj, all)
 	checkLeavers(t, f, inj, all)
 }
