A route's timeout is at most ten minutes, as that of other settings

Found by reading while the ranges of the operators' document were set: a route's timeout had no bound there, and the fences that prove that a call did not run are kept for twelve minutes. A call that waits longer could not be told from one that never arrived. The test fails before the change.

--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -27,7 +27,8 @@
 	Prefix string
 	// Idempotent requests may be sent again after an unknown outcome.
 	Idempotent bool
-	// Timeout bounds the whole request as the caller sees it.
+	// Timeout bounds the whole request as the caller sees it. A request never takes longer than
+	// ten minutes.
 	Timeout time.Duration
 	// TargetLatency is the response time up to which a response has its full value to the
 	// caller; later responses are worth less. 0 means unknown.
@@ -255,14 +256,17 @@
 	}
 }
 
+// compileHostRoute compiles a route. Its timeout is reduced to the longest that other settings allow,
+// which the fences of calls outlast.
 func compileHostRoute(r HostRoute) *CompiledRoute {
+	timeout := min(r.Timeout, maxDeadlineMs*time.Millisecond)
 	return &CompiledRoute{
 		Route: Route{
 			Name: r.Name, Prefix: r.Prefix, Service: r.WeightedServices[0].Service, Idempotent: r.Idempotent, Open: r.Open,
-			DeadlineMs: r.Timeout.Milliseconds(), Retries: r.MaxEndpoints - 1, AnswerLimitBytes: hostAnswerLimitBytes,
+			DeadlineMs: timeout.Milliseconds(), Retries: r.MaxEndpoints - 1, AnswerLimitBytes: hostAnswerLimitBytes,
 		},
 		Rank:             r.Rank,
-		Deadline:         r.Timeout,
+		Deadline:         timeout,
 		TargetLatency:    r.TargetLatency,
 		WeightedServices: r.WeightedServices,
 	}
--- a/internal/settings/document_test.go
+++ b/internal/settings/document_test.go
@@ -50,4 +50,9 @@
 	require.Equal(t, call.Critical, v.Priority(low, "u"), "the account's own rank takes precedence")
 	require.Equal(t, DefaultLimits, v.Limits)
 	require.Equal(t, 1, a.Retries, "MaxEndpoints counts the first attempt")
+
+	d.Routes[0].Timeout = time.Hour
+	require.NoError(t, d.Validate())
+	all, _ := CompileDocument(d, nil).HostRoute("h", "/ab")
+	require.Equal(t, 10*time.Minute, all.Deadline, "fences of calls are kept for little longer")
 }
