--- a/internal/system/serve/sendings_test.go
+++ b/internal/system/serve/sendings_test.go
@@ -27,7 +27,8 @@
 	"comfreycart.dev/comfreycart/platform"
 )
 
-// Headers of a call and of its answers, by dialect.
+// headerAttempt names a call to the platform's backend servers, and headerSending one sending of it to the
+// test.
 const (
 	headerAttempt = "Attempt-Id"
 	headerSending = "Test-Sending"
