--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -344,15 +344,15 @@
 	}
 
 	a.instance.Close()
-	born, err := instance.Start(a.instance.ID, a.instance.Service, a.instance.Address, a.instance.Control)
+	restarted, err := instance.Start(a.instance.ID, a.instance.Service, a.instance.Address, a.instance.Control)
 	require.NoError(t, err)
-	t.Cleanup(born.Close)
+	t.Cleanup(restarted.Close)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	go born.AnnounceUntilDone(ctx, 200*time.Millisecond)
+	go restarted.AnnounceUntilDone(ctx, 200*time.Millisecond)
 	require.Eventually(t, func() bool {
 		f.sendRequest(b, http.MethodPost, "/unsafe/1", "k1", "x")
-		return len(born.Runs()) > 0
+		return len(restarted.Runs()) > 0
 	}, 5*time.Second, 10*time.Millisecond, "the same ID after a restart of the backend server is used")
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -29,7 +29,7 @@
 // Upper bounds of settings.
 const (
 	// maxRate bounds rates, in requests per second, and bursts, in requests.
-	maxRate       = 1e9
+	maxRate       = call.MaxRate
 	maxDeadlineMs = 10 * 60 * 1000
 	maxRetries    = 16
 	// maxSlots bounds the slots and the connections of an endpoint.
--- a/internal/table/local_backends_test.go
+++ b/internal/table/local_backends_test.go
@@ -150,7 +150,7 @@
 	require.Equal(t, Ready, row.State)
 }
 
-// A late word that another instance is draining does not end the use of the one that is known.
+// A late announcement that another instance is draining does not end the use of the one that is known.
 func TestDrainingInstanceOfUnknownOrderDoesNotReplaceTheKnownOne(t *testing.T) {
 	l := NewLocalBackends(time.Second)
 	a, b := announcement("a", 0, 1, Ready), announcement("b", 0, 7, Draining)
