review: case 10 is a planned stop that cuts pipelined requests

Cause of the new case: while a node stops it closes a connection only after a reply with no other request behind it, and never stops reading.

Nothing is fixed.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
 # disruption out.
-cd "$(dirname "$0")" && exec ../../target/review-lab-2 memory "$(pwd)"
+cd "$(dirname "$0")" && exec ../../target/review-lab-2 stop-cuts-pipeline "$(pwd)"
