--- a/review/lab-2/client.go
+++ b/review/lab-2/client.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -37,11 +36,10 @@
 
 // answer is what a client got.
 type answer struct {
-	status     int
-	retryAfter time.Duration
-	sealed     bool
-	closes     bool
-	body       string
+	status int
+	sealed bool
+	closes bool
+	body   string
 	// err is set unless a whole answer was read.
 	err error
 }
@@ -95,9 +93,6 @@
 		return answer{err: err}
 	}
 	a := answer{status: resp.StatusCode, sealed: resp.Header.Get("Response-Seal") != "", closes: resp.Close}
-	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
-		a.retryAfter = time.Duration(s * float64(time.Second))
-	}
 	if pace == nil {
 		pace = func(r io.Reader, _ int64) (string, error) {
 			data, err := io.ReadAll(r)
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -232,17 +232,3 @@
 	}
 	s.answer(w, http.StatusOK, nil, false)
 }
-
-// lease returns the value of a zone's lease row, for the record.
-func (s *store) lease(zone string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for name, x := range s.rows {
-		if name.Table == "lease" {
-			if len(name.Key) >= len(zone) && name.Key[len(name.Key)-len(zone):] == zone {
-				return string(x.Value)
-			}
-		}
-	}
-	return ""
-}
--- a/review/lab-2/world.go
+++ b/review/lab-2/world.go
@@ -31,7 +31,6 @@
 // Bounds of the deployment, those of the small sites.
 const (
 	graceTime  = 6 * time.Second
-	drainTime  = 2 * time.Second
 	revokeMs   = 5000
 	memoryMb   = 284
 	heartbeat  = 1500 * time.Millisecond
@@ -279,24 +278,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// residentMb returns the anonymous resident memory of the process in MiB, 0 if it is not known.
-func (n *node) residentMb() int {
-	n.mu.Lock()
-	pid := n.cmd.Process.Pid
-	n.mu.Unlock()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	var kb int
-	for line := range strings.Lines(string(data)) {
-		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			_, _ = fmt.Sscanf(rest, "%d", &kb)
-		}
-	}
-	return kb / 1024
-}
-
 // fields are the fields from which the platform fills the template.
 func (n *node) fields() map[string]any {
 	return map[string]any{
