A reset during an upload does not end an answer

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, with the backend server's seal and a Content-Length of ours.

Cause: Linux keeps the error of a connection until one system call has returned it. A long body is sent while the answer is read. When the write got ECONNRESET, the read that followed returned an end of the stream, which ends an answer without a length; the error of the write only closed the connection.

Why this works: a connection to a backend server now reports an end of the stream only after the write in progress has ended, and in place of it the write's error, if there is one that says that the connection failed. Whoever the kernel gave the error to, it has been recorded by then: a write that waits is interrupted and has got no error. A reset after the peer's FIN does not count: the kernel then returns EPIPE, and the answer is complete. The same holds for other errors of the connection, as the user timeout.

--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -267,6 +268,25 @@
 	}
 }
 
+// A backend server answers long uploads without a length and resets the connection in the middle of its
+// answer. The part that came is no answer.
+func TestMeshPassesOnNoAnswerThatWasReset(t *testing.T) {
+	f := startMesh(t, "front", "deep", "front")
+	f.publishSettings(2, "k1")
+	f.waitUntilReady()
+	a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
+	f.waitUntilAllServe(b, "/safe/1", "k1", a, c)
+	a.instance.SetFaults(instance.Faults{ResetUpload: true})
+	c.instance.SetFaults(instance.Faults{ResetUpload: true})
+	upload := strings.Repeat("x", 4<<20)
+	for range 24 {
+		attempt, resp, body := f.sendRequest(b, http.MethodPost, "/unsafe/1", "k1", upload)
+		require.Equal(t, http.StatusBadGateway, resp.StatusCode, body)
+		require.Empty(t, resp.Header.Get("Response-Seal"))
+		require.LessOrEqual(t, f.countRuns(attempt), 1)
+	}
+}
+
 func TestMeshRefusesWithdrawnKeysAndRecoversFromPlatformOutage(t *testing.T) {
 	f := startMesh(t, "front")
 	f.publishSettings(2, "k1", "k2")
--- a/internal/system/serve/pool.go
+++ b/internal/system/serve/pool.go
@@ -120,6 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
+	raw = tcp.NewResetConn(raw)
 	head := &headLimiter{source: raw}
 	return &conn{raw: raw, head: head, reader: bufio.NewReader(head), idleTimeout: defaultIdleTimeout}, nil
 }
--- a/test/standin/instance/instance.go
+++ b/test/standin/instance/instance.go
@@ -33,6 +33,9 @@
 	// TruncateAnswer closes the connection before the last bytes of an answer, TruncateHead within
 	// the line that ends its head.
 	TruncateAnswer, TruncateHead bool
+	// ResetUpload answers a request with a body before the body is read, without a length, and resets
+	// the connection after a part of the answer.
+	ResetUpload bool
 	// ShedEvery refuses every n-th request if it isn't 0.
 	ShedEvery uint64
 	// RepeatAfter sends each answer once more on its connection after this time, if it isn't 0.
@@ -224,6 +227,10 @@
 		if err != nil {
 			return
 		}
+		if i.faults.Load().ResetUpload && r.ContentLength != 0 {
+			i.resetUpload(r, c)
+			return
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -247,6 +254,15 @@
 	}
 }
 
+// resetUpload answers a request as Faults.ResetUpload says.
+func (i *Instance) resetUpload(r *http.Request, c net.Conn) {
+	i.recordRun(r, "")
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt-Id: "+r.Header.Get("Attempt-Id")+"\r\nResponse-Seal: seal\r\n\r\nthe first part")
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // lockedWriter writes whole answers to a connection.
 type lockedWriter struct {
 	conn net.Conn
