An answer with a malformed field name is no answer

What callers saw: an answer in whose head the name of a field held a blank was passed on. If the field was to delimit the body ("Content-Length : 4"), the body was whatever came until the connection ended; a line that began with a blank became a part of the value before it, which may be the seal.

Cause: the standard library's parser of heads accepts blanks in and before the colon of a name, keeps such a field under a name that nothing asks for, and joins a line that begins with a blank or a tab to the line before it. Other bytes that no name may hold were refused, as a lost answer.

Why this works: the reader below the parser, which bounds heads, now checks each line of the head as it comes. The first byte that is no part of a name before its colon fails the exchange with answer-malformed and an unknown outcome (502), and the connection is closed. It starts with the bytes that are buffered from the answer before and stops at the end of the head, so that it never looks at a body. Limits on the size of a head are exact now.

--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -287,6 +287,40 @@
 	}
 }
 
+// A backend server in trouble sends answers whose head HTTP does not allow. They are no answers.
+func TestMeshPassesOnNoAnswerWithAMalformedHead(t *testing.T) {
+	f := startMesh(t, "front", "deep")
+	f.publishSettings(2, "k1")
+	f.waitUntilReady()
+	a, b := f.nodes[0], f.nodes[1]
+	f.waitUntilServed(b, "/safe/1", "k1")
+	for name, edit := range map[string][2]string{
+		"status 000":              {"200 OK", "000 None"},
+		"status 000, no reason":   {"200 OK", "000"},
+		"status 099":              {"200 OK", "099 Low"},
+		"signed status":           {"200 OK", "+20 OK"},
+		"blank in a name":         {"Response-Seal", "X Note: 1\r\nResponse-Seal"},
+		"blank before the colon":  {"Content-Length:", "Connection: close\r\nContent-Length :"},
+		"blank before the name":   {"Response-Seal", " X-Note: 1\r\nResponse-Seal"},
+		"control byte in a name":  {"Response-Seal", "X\x01Note: 1\r\nResponse-Seal"},
+		"continuation of a field": {"Content-Length", "\tmore\r\nContent-Length"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a.instance.SetFaults(instance.Faults{EditAnswer: func(answer string) string {
+				return strings.Replace(answer, edit[0], edit[1], 1)
+			}})
+			for _, x := range []struct{ method, path, body string }{{http.MethodGet, "/safe/1", ""}, {http.MethodPost, "/unsafe/1", "x"}} {
+				attempt, resp, body := f.sendRequest(b, x.method, x.path, "k1", x.body)
+				require.Equal(t, http.StatusBadGateway, resp.StatusCode, body)
+				require.Empty(t, resp.Header.Get("Response-Seal"))
+				require.Equal(t, 1, f.countRuns(attempt))
+			}
+			a.instance.SetFaults(instance.Faults{})
+			f.waitUntilServed(b, "/safe/1", "k1")
+		})
+	}
+}
+
 func TestMeshRefusesWithdrawnKeysAndRecoversFromPlatformOutage(t *testing.T) {
 	f := startMesh(t, "front")
 	f.publishSettings(2, "k1", "k2")
--- a/internal/system/serve/fuzz_test.go
+++ b/internal/system/serve/fuzz_test.go
@@ -17,7 +17,7 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"))
 	f.Add([]byte("\x00\xff"))
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		head := &headLimiter{source: bytes.NewReader(data)}
+		head := &headReader{source: bytes.NewReader(data)}
 		cn := &conn{head: head, reader: bufio.NewReader(head)}
 		req, _ := http.NewRequest(http.MethodGet, "http://backend/", nil)
 		x := &exchange{call: &call.Call{AnswerLimit: 1 << 16, Request: &call.Request{Method: http.MethodGet}}}
--- a/internal/system/serve/head.go
+++ b/internal/system/serve/head.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -18,42 +20,90 @@
 
 var (
 	errHeadTooLarge   = errors.New("the answer's head has no end")
+	errFieldName      = errors.New("the answer's head has a malformed field name")
 	errTooManyInterim = errors.New("too many informational answers")
 )
 
-// headLimiter reads from a connection and fails once the head of an answer exceeds
-// maxHeadBytes or maxHeadLines. It counts only between begin and end, in whole reads of the
-// buffered reader above it, so the limits may be exceeded by the size of one such read.
-type headLimiter struct {
+// headReader reads from a connection and fails in the head of an answer once the head exceeds
+// maxHeadBytes or maxHeadLines, or holds a malformed field name. The parser above it accepts blanks
+// in and before a name and then takes the line for a field that does not exist, or for a part of the
+// line before it.
+type headReader struct {
 	source io.Reader
-	inHead bool
+	state  headState
 	bytes  int
 	lines  int
-	// exceeded is set once a read failed because of a limit. The parser above may report that
-	// as a malformed line.
-	exceeded bool
+	// err is the error of the head, kept since the parser above may report another one for it.
+	err error
 }
 
-// begin starts counting the head of the next answer.
-func (h *headLimiter) begin() { h.inHead, h.bytes, h.lines = true, 0, 0 }
+// headState says what the next byte of an answer belongs to.
+type headState uint8
+
+const (
+	// notInHead is the state outside of a head.
+	notInHead headState = iota
+	// inRestOfLine is the state in the status line and behind a field's name.
+	inRestOfLine
+	atLineStart
+	// afterCR is the state after a carriage return at the start of a line.
+	afterCR
+	inName
+)
+
+// begin starts the head of the next answer. buffered holds the bytes that were read before.
+func (h *headReader) begin(buffered []byte) {
+	h.state, h.bytes, h.lines, h.err = inRestOfLine, 0, 0, nil
+	h.scan(buffered)
+}
 
-// end stops counting; the body has limits of its own.
-func (h *headLimiter) end() { h.inHead = false }
+// end ends the head; the body has limits of its own.
+func (h *headReader) end() { h.state = notInHead }
 
 // Read implements io.Reader.
-func (h *headLimiter) Read(p []byte) (int, error) {
-	if h.inHead && (h.bytes > maxHeadBytes || h.lines > maxHeadLines) {
-		h.exceeded = true
-		return 0, errHeadTooLarge
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.err != nil {
+		return 0, h.err
 	}
 	n, err := h.source.Read(p)
-	if h.inHead {
-		h.bytes += n
-		for _, b := range p[:n] {
-			if b == '\n' {
-				h.lines++
-			}
-		}
+	h.scan(p[:n])
+	if h.err != nil {
+		return 0, h.err
 	}
 	return n, err
 }
+
+// scan checks the bytes up to the end of the head.
+func (h *headReader) scan(p []byte) {
+	for i := 0; i < len(p) && h.state != notInHead && h.err == nil; i++ {
+		h.bytes++
+		if p[i] == '\n' {
+			h.lines++
+		}
+		if h.bytes > maxHeadBytes || h.lines > maxHeadLines {
+			h.err = errHeadTooLarge
+			return
+		}
+		h.state = h.next(p[i])
+	}
+}
+
+// next returns the state after b. It sets err if b is not allowed.
+func (h *headReader) next(b byte) headState {
+	switch {
+	case h.state == inRestOfLine && b == '\n':
+		return atLineStart
+	case h.state == inRestOfLine:
+		return inRestOfLine
+	case h.state == atLineStart && b == '\r':
+		return afterCR
+	case (h.state == atLineStart || h.state == afterCR) && b == '\n':
+		return notInHead
+	case h.state == inName && b == ':':
+		return inRestOfLine
+	case (h.state == atLineStart || h.state == inName) && httpguts.IsTokenRune(rune(b)):
+		return inName
+	}
+	h.err = errFieldName
+	return h.state
+}
--- a/internal/system/serve/pool.go
+++ b/internal/system/serve/pool.go
@@ -36,7 +36,7 @@
 // conn is one HTTP/1.1 connection to a backend server.
 type conn struct {
 	raw    net.Conn
-	head   *headLimiter
+	head   *headReader
 	reader *bufio.Reader
 	// carried holds the hashes of the IDs of the calls that were sent on the connection. An answer
 	// names its call but not the sending, so that a second copy of an earlier answer to a call could
@@ -121,7 +121,7 @@
 		return nil, err
 	}
 	raw = tcp.NewResetConn(raw)
-	head := &headLimiter{source: raw}
+	head := &headReader{source: raw}
 	return &conn{raw: raw, head: head, reader: bufio.NewReader(head), idleTimeout: defaultIdleTimeout}, nil
 }
 
--- a/test/standin/instance/instance.go
+++ b/test/standin/instance/instance.go
@@ -38,6 +38,8 @@
 	ResetUpload bool
 	// ShedEvery refuses every n-th request if it isn't 0.
 	ShedEvery uint64
+	// EditAnswer changes the text of each answer to a request that ran, if it isn't nil.
+	EditAnswer func(answer string) string
 	// RepeatAfter sends each answer once more on its connection after this time, if it isn't 0.
 	RepeatAfter time.Duration
 }
@@ -300,6 +302,9 @@
 			return false
 		}
 		answer = i.answer(attempt, f)
+		if f.EditAnswer != nil {
+			answer = f.EditAnswer(answer)
+		}
 		switch {
 		case f.TruncateHead:
 			head, _, _ := strings.Cut(answer, "\r\n\r\n")
