--- a/internal/system/serve/endless_test.go
+++ b/internal/system/serve/endless_test.go
@@ -19,11 +19,10 @@
 	"comfreycart.dev/comfreycart/internal/memory"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/table"
+	"comfreycart.dev/comfreycart/test/heap"
 )
 
 const (
-	// smallestVMBytes is the memory of a process on the smallest VMs of the users.
-	smallestVMBytes = 184 << 20
 	// endlessFor is how long a backend server writes an answer without end, unless the
 	// connection is closed before.
 	endlessFor = 2 * time.Second
@@ -31,31 +30,11 @@
 	ordinaryCalls = 20
 )
 
-// peakHeap runs f and returns the largest heap seen meanwhile.
-func peakHeap(f func()) uint64 {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f()
-	}()
-	var peak uint64
-	for {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		peak = max(peak, m.HeapInuse+m.StackInuse)
-		select {
-		case <-done:
-			return peak
-		case <-time.After(2 * time.Millisecond):
-		}
-	}
-}
-
 // Load: eight calls at a time to a backend server that writes an answer without end, beside
 // ordinary calls. The process stays within the smallest VM's memory, the endless answers fail
 // with an unknown outcome, and each ordinary call is answered.
 func TestAnswersWithoutEndStayWithinTheMemoryOfAVM(t *testing.T) {
-	defer debug.SetMemoryLimit(debug.SetMemoryLimit(smallestVMBytes * 8 / 10))
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(heap.SmallestVMBytes * 8 / 10))
 	defer debug.SetGCPercent(debug.SetGCPercent(50))
 	block := strings.Repeat("x", 32<<10)
 	for name, x := range map[string]struct {
@@ -84,7 +63,7 @@
 				}
 				_ = c.Close()
 			})
-			bodies := memory.NewBudget(smallestVMBytes/4, metric.NewSet())
+			bodies := memory.NewBudget(heap.SmallestVMBytes/4, metric.NewSet())
 			p := newPool(b.address)
 			var mu sync.Mutex
 			var endless, ordinary []*call.Failure
@@ -95,7 +74,7 @@
 			}
 			var done atomic.Bool
 			runtime.GC()
-			peak := peakHeap(func() {
+			peak := heap.Peak(func() {
 				var wg sync.WaitGroup
 				for range 8 {
 					wg.Go(func() {
@@ -113,7 +92,7 @@
 				})
 				wg.Wait()
 			})
-			require.Less(t, peak, uint64(smallestVMBytes))
+			require.Less(t, peak, uint64(heap.SmallestVMBytes))
 			require.GreaterOrEqual(t, len(endless), 8)
 			for _, f := range endless {
 				require.NotNil(t, f)
