--- a/internal/system/serve/endless_test.go
+++ b/internal/system/serve/endless_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"runtime"
-	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,8 +33,7 @@
 // ordinary calls. The process stays within the smallest VM's memory, the endless answers fail
 // with an unknown outcome, and each ordinary call is answered.
 func TestAnswersWithoutEndStayWithinTheMemoryOfAVM(t *testing.T) {
-	defer debug.SetMemoryLimit(debug.SetMemoryLimit(heap.SmallestVMBytes * 8 / 10))
-	defer debug.SetGCPercent(debug.SetGCPercent(50))
+	heap.LimitToSmallestVM(t)
 	block := strings.Repeat("x", 32<<10)
 	for name, x := range map[string]struct {
 		start, repeat string
