--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -4,11 +4,13 @@
 
 import (
 	"encoding/hex"
+	"fmt"
 	"math"
 	"net/http"
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/net/http/httpguts"
 
 	"comfreycart.dev/comfreycart/internal/clock"
 )
@@ -83,6 +85,22 @@
 // maxStatus is the largest status that HTTP defines.
 const maxStatus = 599
 
+// CheckHeader returns an error if the name or the value of a field holds bytes that HTTP does not allow
+// there. The parser of net/http accepts names with blanks.
+func CheckHeader(h http.Header) error {
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("malformed name of a header field: %q", name)
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return fmt.Errorf("malformed value of header field %s", name)
+			}
+		}
+	}
+	return nil
+}
+
 // Call is one hop of a request: from a caller or a backend server to a service.
 type Call struct {
 	ID       ID
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -116,17 +116,17 @@
 }
 
 // resultFromProto converts a reply to a result. It returns false if the reply belongs to
-// another call, does not have exactly one of answer and failure, or the answer has no valid status.
-// The unused allowance is limited to the allowance that was sent.
+// another call, does not have exactly one of answer and failure, or the answer's status or header is
+// not valid. The unused allowance is limited to the allowance that was sent.
 func resultFromProto(id call.ID, p *peerpb.CallReply, allowance int) (call.Result, bool) {
 	if call.ID(validIDOrZero(p.Id)) != id || (p.Answer == nil) == (p.Failure == nil) {
 		return call.Result{}, false
 	}
-	if p.Answer != nil && !call.IsFinalStatus(int(p.Answer.Status)) {
+	answer := AnswerFromProto(p.Answer)
+	if p.Answer != nil && answer == nil {
 		return call.Result{}, false
 	}
-	r := call.Result{UnusedRetries: min(max(int(p.Unused), 0), allowance), Overloaded: p.Overloaded, SubCallFailed: p.FailedBelow}
-	r.Answer = AnswerFromProto(p.Answer)
+	r := call.Result{Answer: answer, UnusedRetries: min(max(int(p.Unused), 0), allowance), Overloaded: p.Overloaded, SubCallFailed: p.FailedBelow}
 	if f := p.Failure; f != nil {
 		r.Failure = failureFromProto(f)
 	}
@@ -198,12 +198,17 @@
 	return &peerpb.Answer{Status: int32(a.Status), Headers: headersToProto(a.Header), Body: a.Body}
 }
 
-// AnswerFromProto converts a protobuf message to an answer; nil stays nil.
+// AnswerFromProto converts a protobuf message to an answer. It returns nil if there is none, or one
+// whose status or header is malformed: such an answer is as good as lost.
 func AnswerFromProto(p *peerpb.Answer) *call.Answer {
-	if p == nil {
+	if p == nil || !call.IsFinalStatus(int(p.Status)) {
+		return nil
+	}
+	h := headersFromProto(p.Headers)
+	if call.CheckHeader(h) != nil {
 		return nil
 	}
-	return &call.Answer{Status: int(p.Status), Header: headersFromProto(p.Headers), Body: p.Body}
+	return &call.Answer{Status: int(p.Status), Header: h, Body: p.Body}
 }
 
 // validIDOrZero returns id if it has the length of a call ID, otherwise a zero ID, which
--- a/internal/peer/convert_test.go
+++ b/internal/peer/convert_test.go
@@ -45,6 +45,27 @@
 	require.False(t, ok, "malformed ID")
 }
 
+// An answer from a peer, perhaps of another version, is checked like one from a backend server.
+func TestMalformedAnswerOfAPeerIsRejected(t *testing.T) {
+	id := call.NewID()
+	convert := func(status int, h http.Header) bool {
+		reply := resultToProto(id, call.Result{Answer: &call.Answer{Status: status, Header: h}})
+		_, ok := resultFromProto(id, reply, 0)
+		require.Equal(t, ok, AnswerFromProto(reply.Answer) != nil, "answers to earlier requests with a key")
+		return ok
+	}
+	require.True(t, convert(200, http.Header{"X-Note": {"1", ""}, "Response-Seal": {"a b\tc"}}))
+	for _, status := range []int{0, 99, 100, 600, 999, -1} {
+		require.False(t, convert(status, nil), status)
+	}
+	for _, name := range []string{"", "X Note", " X-Note", "X-Note ", "X\tNote", "X-\x01Note", "X-Note\x00", "X-N\u00f6te", "X:Note", "X\r\nY"} {
+		require.False(t, convert(200, http.Header{name: {"1"}}), "%q", name)
+	}
+	for _, value := range []string{"a\r\nX-Note: 1", "a\nb", "\x00", "a\x7f"} {
+		require.False(t, convert(200, http.Header{"X-Note": {"1", value}}), "%q", value)
+	}
+}
+
 func TestUnusedAllowanceIsCapped(t *testing.T) {
 	id := call.NewID()
 	r, ok := resultFromProto(id, resultToProto(id, call.Result{Answer: &call.Answer{Status: 200}, UnusedRetries: 99}), 2)
--- a/internal/system/claims/entry.go
+++ b/internal/system/claims/entry.go
@@ -138,10 +138,11 @@
 		return claim.Verdict{}, false
 	}
 	kind, ok := claim.ParseKind(reply.Verdict)
-	if !ok || kind == claim.Replay && reply.Answer == nil {
+	answer := peer.AnswerFromProto(reply.Answer)
+	if !ok || kind == claim.Replay && answer == nil {
 		return claim.Verdict{}, false
 	}
-	return claim.Verdict{Kind: kind, Answer: peer.AnswerFromProto(reply.Answer)}, true
+	return claim.Verdict{Kind: kind, Answer: answer}, true
 }
 
 func claimToProto(account string, a *claim.Request) *peerpb.ClaimRequest {
