An answer with a control byte in its head is no answer

What callers saw: an answer whose status line held a control byte was passed on. Behind a carriage return in it stood a field that nobody read: with "200 OK\rContent-Length: 4" the body was whatever came until the connection ended. Found while looking for further bytes that the parser of heads accepts.

Cause: the standard library's parser takes the rest of the status line as it is.

Why this works: the reader that checks names now refuses, with answer-malformed, every control byte of a head but a tab behind a name and a carriage return that ends a line.

--- a/internal/call/failure.go
+++ b/internal/call/failure.go
@@ -51,8 +51,8 @@
 	// AnswerMemory means that the node has no memory left for the answer.
 	AnswerMemory Reason = "answer-memory"
 	// AnswerMalformed means that the backend server sent bytes that are no answer: a head
-	// without end or with a malformed field name, too many informational answers, or an unknown
-	// status.
+	// without end or with bytes that HTTP does not allow there, too many informational answers, or
+	// an unknown status.
 	AnswerMalformed   Reason = "answer-malformed"
 	DeadlinePassed    Reason = "deadline-passed"
 	Cancelled         Reason = "cancelled"
--- a/internal/system/serve/exchange.go
+++ b/internal/system/serve/exchange.go
@@ -227,7 +227,7 @@
 		return call.NewUnknownOutcome(call.AnswerTooLarge, "the answer of %s exceeds %d bytes", x.call.Service, x.call.AnswerLimit)
 	case errors.Is(err, memory.ErrExhausted):
 		return call.NewUnknownOutcome(call.AnswerMemory, "this node has no memory for the answer of %s", x.call.Service)
-	case errors.Is(err, errHeadTooLarge), errors.Is(err, errFieldName), errors.Is(err, errTooManyInterim), errors.Is(err, errStatus):
+	case errors.Is(err, errHeadTooLarge), errors.Is(err, errHeadMalformed), errors.Is(err, errTooManyInterim), errors.Is(err, errStatus):
 		return call.NewUnknownOutcome(call.AnswerMalformed, "the backend server of %s: %s", x.call.Service, err)
 	case errors.Is(err, errOtherCall):
 		return call.NewUnknownOutcome(call.BackendLost, "the backend server of %s answered another call", x.call.Service)
--- a/internal/system/serve/head.go
+++ b/internal/system/serve/head.go
@@ -20,14 +20,14 @@
 
 var (
 	errHeadTooLarge   = errors.New("the answer's head has no end")
-	errFieldName      = errors.New("the answer's head has a malformed field name")
+	errHeadMalformed  = errors.New("the answer's head has bytes that HTTP does not allow there")
 	errTooManyInterim = errors.New("too many informational answers")
 )
 
 // headReader reads from a connection and fails in the head of an answer once the head exceeds
-// maxHeadBytes or maxHeadLines, or holds a malformed field name. The parser above it accepts blanks
-// in and before a name and then takes the line for a field that does not exist, or for a part of the
-// line before it.
+// maxHeadBytes or maxHeadLines, or holds a byte that HTTP does not allow there. The parser above it
+// accepts blanks in and before the name of a field and then takes the line for a field that does not
+// exist, or for a part of the line before it, and it accepts any byte in the status line.
 type headReader struct {
 	source io.Reader
 	state  headState
@@ -46,9 +46,11 @@
 	// inRestOfLine is the state in the status line and behind a field's name.
 	inRestOfLine
 	atLineStart
-	// afterCR is the state after a carriage return at the start of a line.
-	afterCR
 	inName
+	// endOfLine and endOfHead are the states after the carriage return of a line and of the empty
+	// line that ends the head.
+	endOfLine
+	endOfHead
 )
 
 // begin starts the head of the next answer. buffered holds the bytes that were read before.
@@ -90,20 +92,26 @@
 
 // next returns the state after b. It sets err if b is not allowed.
 func (h *headReader) next(b byte) headState {
+	isToken := httpguts.IsTokenRune(rune(b))
 	switch {
-	case h.state == inRestOfLine && b == '\n':
+	case h.state == inRestOfLine && b == '\r':
+		return endOfLine
+	case (h.state == inRestOfLine || h.state == endOfLine) && b == '\n':
 		return atLineStart
-	case h.state == inRestOfLine:
+	case h.state == inRestOfLine && (b == '\t' || b >= ' ' && b != del):
 		return inRestOfLine
 	case h.state == atLineStart && b == '\r':
-		return afterCR
-	case (h.state == atLineStart || h.state == afterCR) && b == '\n':
+		return endOfHead
+	case (h.state == atLineStart || h.state == endOfHead) && b == '\n':
 		return notInHead
+	case (h.state == atLineStart || h.state == inName) && isToken:
+		return inName
 	case h.state == inName && b == ':':
 		return inRestOfLine
-	case (h.state == atLineStart || h.state == inName) && httpguts.IsTokenRune(rune(b)):
-		return inName
 	}
-	h.err = errFieldName
+	h.err = errHeadMalformed
 	return h.state
 }
+
+// del is the control byte that stands behind the printable ones.
+const del = 0x7f
--- a/internal/system/serve/head_test.go
+++ b/internal/system/serve/head_test.go
@@ -67,9 +67,33 @@
 	}
 }
 
+// A control byte in the status line or in a value is no more allowed than in a name. A carriage return
+// that ends no line would hide the field behind it.
+func TestAnswerWithAControlByteInItsHeadIsNoAnswer(t *testing.T) {
+	for _, control := range []string{"\r", "\x00", "\x0b", "\x1b", "\x7f"} {
+		for _, head := range []string{
+			"HTTP/1.1 200 OK" + control + "Content-Length: 4\r\nComfreycart-Call: a\r\n\r\n",
+			"HTTP/1.1 200 " + control + "OK\r\nComfreycart-Call: a\r\n\r\n",
+			"HTTP/1.1 200 OK" + control + "\r\nComfreycart-Call: a\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nX-Note: 1" + control + "2\r\nComfreycart-Call: a\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nX-Note: " + control + "1\r\nComfreycart-Call: a\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nComfreycart-Call: a\r\nX-Note: 1" + control + "\r\n\r\n",
+		} {
+			b := startBackend(t, func(_ *http.Request, c net.Conn) {
+				_, _ = io.WriteString(c, head+"body and more")
+				_ = c.Close()
+			})
+			got, f := runExchange(t, newPool(b.address), &lenientDialect{}, "a", "", 5*time.Second)
+			require.NotNil(t, f, "%q: passed on with the body %q", head, got)
+			require.Equal(t, call.Unknown, f.Outcome)
+			require.Equal(t, call.AnswerMalformed, f.Reason, "%q", head)
+		}
+	}
+}
+
 // Every name that HTTP allows is passed on, also where the head comes byte by byte.
 func TestAnswerWithUnusualFieldNamesIsServed(t *testing.T) {
-	head := "HTTP/1.1 200 OK\r\nComfreycart-Call: a\r\n!#$%&'*+-.^_`|~09azAZ: \t odd value: with colon \xf6\t\r\nX-Empty:\r\nContent-Length: 4\r\n\r\nbody"
+	head := "HTTP/1.1 200 \tOK \xf6\r\nComfreycart-Call: a\r\n!#$%&'*+-.^_`|~09azAZ: \t odd value: with colon \xf6\t\r\nX-Empty:\r\nContent-Length: 4\r\n\r\nbody"
 	b := startBackend(t, func(_ *http.Request, c net.Conn) {
 		for i := range len(head) {
 			_, _ = io.WriteString(c, head[i:i+1])
