A stopping node reads nothing that it could not answer

What callers saw: around a planned stop of one node, in calm, requests that came late were taken and passed on, and cut without an answer when the stop time was over: those of callers that always have a further request outstanding on a kept connection, and requests whose body came whole only late, which need not be idempotent.

Cause: while the server stops, a connection closes after a reply only if no other request was read. A connection on which the next request always comes before the last reply was never closed, and nothing ended the reading of further requests. Nor did anything look at how late a request was passed on.

Why this works: once callers have had their notice and the listener is closed, Server.Drain, in place of CloseIdle, ends the reading on all connections. A request that is just being read becomes the last one of its connection; the reply to the last one that was read says that the connection closes, after which the caller may send again whatever stood behind it. A caller that leaves is still noticed. A request that comes whole only in the second half of the stop time, a slow upload, is refused as draining with a Retry-After: it has not run.

--- a/internal/api/front/conn.go
+++ b/internal/api/front/conn.go
@@ -28,6 +28,9 @@
 	pending int
 	// isReading is set while a request is being read.
 	isReading bool
+	// isDraining is set once no further request is read; the connection closes after the reply to
+	// the last pending one.
+	isDraining bool
 	// isClosing is set once the connection is to be closed; no further request is read.
 	isClosing bool
 	// idleSince is when the last reply was written, or when the connection was accepted.
@@ -78,13 +81,18 @@
 }
 
 // awaitRequest waits for the first byte of a request. It returns false once the caller has
-// disconnected, the connection is being closed, or the idle timeout has passed.
+// disconnected, the connection is being closed, or the idle timeout has passed. While the
+// connection drains, it discards what the caller sends.
 func (c *conn) awaitRequest() bool {
 	for {
 		c.reader.limitIdle(c.server.Limits().IdleTimeout)
 		_, err := c.buffered.Peek(1)
 		if err == nil {
-			return c.beginRead()
+			if c.beginRead() {
+				return true
+			}
+			c.discardUntilClosed()
+			return false
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cancel()
@@ -96,12 +104,12 @@
 	}
 }
 
-// beginRead marks that a request is being read. It returns false if the connection is
+// beginRead marks that a request is being read. It returns false if the connection drains or is
 // being closed.
 func (c *conn) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isClosing {
+	if c.isDraining || c.isClosing {
 		return false
 	}
 	c.isReading = true
@@ -186,10 +194,11 @@
 	return c.isClosing
 }
 
-// closeIfIdle closes the connection if no request is being read or served on it, and
-// reports whether it is closing.
-func (c *conn) closeIfIdle() bool {
+// drain closes the connection if no request is being read or served on it. Otherwise no further
+// one is read. It reports whether the connection is closing.
+func (c *conn) drain() bool {
 	c.mu.Lock()
+	c.isDraining = true
 	if c.pending == 0 && !c.isReading {
 		c.isClosing = true
 	}
--- a/internal/api/front/front_test.go
+++ b/internal/api/front/front_test.go
@@ -194,7 +194,7 @@
 	// The caller may have its reply before the server has left the write call.
 	require.Eventually(t, func() bool { return pendingRequests(s) == 2 }, 5*time.Second, time.Millisecond)
 	s.Stop()
-	require.Equal(t, 1, s.CloseIdle())
+	require.Equal(t, 1, s.Drain())
 	_, err := idle.reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 	resp, body := c.readResponse()
@@ -203,7 +203,7 @@
 	resp, body = c.readResponse()
 	require.Equal(t, "/b?400 ", body)
 	require.True(t, resp.Close)
-	require.Eventually(t, func() bool { return s.CloseIdle() == 0 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return s.Drain() == 0 }, time.Second, time.Millisecond)
 }
 
 func TestIdleConnectionsAreClosed(t *testing.T) {
--- a/internal/api/front/server.go
+++ b/internal/api/front/server.go
@@ -134,13 +134,15 @@
 // descriptors.
 const acceptRetryDelay = 10 * time.Millisecond
 
-// Stop makes each connection close after the reply to its last pending request. It does not
-// close idle connections; CloseIdle does.
+// Stop makes each connection close after the reply to its last pending request. Connections that are
+// idle or always have a request pending stay open; Drain ends them.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
-// CloseIdle closes the connections on which no request is being read or served, and returns
-// how many other connections there are.
-func (s *Server) CloseIdle() int {
+// Drain ends the connections: no request is read that is not being read yet, and each connection
+// closes once those that were read are answered. It does not wait, and returns how many connections are
+// not closing yet. Call it again until there are none, since a connection may become idle between two
+// replies.
+func (s *Server) Drain() int {
 	s.mu.Lock()
 	all := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
@@ -149,7 +151,7 @@
 	s.mu.Unlock()
 	busy := 0
 	for _, c := range all {
-		if !c.closeIfIdle() {
+		if !c.drain() {
 			busy++
 		}
 	}
--- a/internal/api/front/stop_test.go
+++ b/internal/api/front/stop_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -61,17 +62,91 @@
 	require.Equal(t, "/a ", body)
 	require.False(t, resp.Close)
 	s.Stop()
-	require.Equal(t, 1, s.CloseIdle(), "the connection is busy")
+	require.Equal(t, 1, s.Drain(), "the connection is busy")
 	require.NoError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
 	_, err = c.reader.ReadByte()
 	require.ErrorContains(t, err, "timeout", "the connection is open")
 	close(release)
-	require.Eventually(t, func() bool { return s.CloseIdle() == 0 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return s.Drain() == 0 }, 5*time.Second, time.Millisecond)
 	require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
 	_, err = c.reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// A caller that always has a request outstanding would keep a connection open until the stop ends and
+// cuts it. While the server drains, what it has read is answered, and the last of these replies closes
+// the connection.
+func TestDrainReadsNoFurtherRequest(t *testing.T) {
+	s, handler, address := startServer(t, testLimits())
+	c := dial(t, address)
+	sent, answered := 0, 0
+	push := func() {
+		sent++
+		c.send(getRequest(fmt.Sprintf("/%d?200", sent)))
+	}
+	push()
+	require.Eventually(t, func() bool { return handler.served.Load() == 1 }, 5*time.Second, time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	s.Stop()
+	draining := time.AfterFunc(300*time.Millisecond, func() {
+		for s.Drain() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	defer draining.Stop()
+	for begin := time.Now(); ; {
+		push()
+		resp, body := c.readResponse()
+		answered++
+		require.Equal(t, fmt.Sprintf("/%d?200 ", answered), body)
+		if resp.Close {
+			break
+		}
+		require.Less(t, time.Since(begin), 2*time.Second, "the connection is never closed")
+	}
+	require.Less(t, answered, sent)
+	_, err := c.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, int64(answered), handler.served.Load(), "a request that was served is not answered")
+}
+
+// A request whose body is being read when the server drains is the last one of its connection.
+func TestDrainAnswersARequestThatIsBeingRead(t *testing.T) {
+	s, handler, address := startServer(t, testLimits())
+	c := dial(t, address)
+	c.send(getRequest("/a?300") + "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
+	require.Eventually(t, func() bool { return handler.served.Load() == 1 }, 5*time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	s.Stop()
+	require.Equal(t, 1, s.Drain())
+	resp, body := c.readResponse()
+	require.Equal(t, "/a?300 ", body)
+	require.False(t, resp.Close)
+	require.Equal(t, 1, s.Drain())
+	c.send("dy" + getRequest("/c"))
+	resp, body = c.readResponse()
+	require.Equal(t, "/b body", body)
+	require.True(t, resp.Close)
+	require.Equal(t, int64(2), handler.served.Load())
+	require.Eventually(t, func() bool { return s.Drain() == 0 }, time.Second, time.Millisecond)
+}
+
+// While the server drains, a caller that leaves still cancels its requests, although bytes of a further
+// request are not read any more.
+func TestDisconnectIsDetectedWhileTheServerDrains(t *testing.T) {
+	s, handler, address := startServer(t, testLimits())
+	c := dial(t, address)
+	c.send(getRequest("/a?9000"))
+	require.Eventually(t, func() bool { return handler.served.Load() == 1 }, 5*time.Second, time.Millisecond)
+	s.Stop()
+	require.Equal(t, 1, s.Drain())
+	c.send(getRequest("/b"))
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { return handler.cancelled.Load() == 1 }, time.Second, time.Millisecond)
+	require.Equal(t, int64(1), handler.served.Load())
+}
+
 // A trailer without end is refused like a head without end.
 func TestTrailerIsBounded(t *testing.T) {
 	_, handler, address := startServer(t, testLimits())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,6 +25,10 @@
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
+// drainRetryAfter is the Retry-After of a draining node, which ends within the rest of its stop time
+// and may be started again at once.
+const drainRetryAfter = time.Second
+
 // settingsRetryAfter is the Retry-After of a node without settings. Loading the first settings
 // takes a few calls to the platform.
 const settingsRetryAfter = 500 * time.Millisecond
@@ -81,6 +86,7 @@
 	metric     *metric.Set
 	latency    *metrics.Histogram
 	log        zerolog.Logger
+	draining   atomic.Bool
 }
 
 // New returns a handler that passes admitted requests to d.
@@ -102,6 +108,9 @@
 	service    string
 }
 
+// Drain makes the handler refuse all further requests, which then do not run.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
 // Serve implements front.Handler. A panic ends only the request, whose outcome is then unknown.
 func (h *Handler) Serve(ctx context.Context, r *front.Request) *front.Reply {
 	state := &requestState{receivedAt: h.clock.Now()}
@@ -155,6 +164,9 @@
 	if state.metadata, f = h.dialect.ExtractMetadata(r.Host, r.Header); f != nil {
 		return call.Result{Failure: f}
 	}
+	if h.draining.Load() {
+		return call.Result{Failure: call.NewRefusal(call.Draining, "the node is stopping").WithRetryAfter(drainRetryAfter)}
+	}
 	if f := h.admit(ctx, state, r); f != nil {
 		return call.Result{Failure: f}
 	}
--- a/internal/node/mesh.go
+++ b/internal/node/mesh.go
@@ -15,6 +15,7 @@
 	"comfreycart.dev/comfreycart/internal/api/front"
 	"comfreycart.dev/comfreycart/internal/api/ready"
 	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/internal/ingress"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
 	"comfreycart.dev/comfreycart/internal/system"
@@ -36,6 +37,7 @@
 	Log        zerolog.Logger
 	Metric     *metric.Set
 	Front      *front.Server
+	Ingress    *ingress.Handler
 	Announce   *announce.Handler
 	Ready      *ready.Handler
 	PeerServer *peer.Server
@@ -158,28 +160,34 @@
 	// maxStopNotice is how long a stopping node still accepts callers: the platform checks
 	// readiness twice, a second apart, before it sends callers to other nodes.
 	maxStopNotice = 2500 * time.Millisecond
+	// acceptDivisor is the fraction (1/n) of the stop time after which a stopping node refuses
+	// the requests that it has received whole only then, so that those before can finish.
+	acceptDivisor = 2
 	// stopMargin is the time reserved for closing if requests take all of the stop time.
 	stopMargin = 400 * time.Millisecond
-	// meshIdlePollInterval is how often a stopping node closes connections that became idle.
+	// meshIdlePollInterval is how often a stopping node closes callers' connections that became
+	// idle.
 	meshIdlePollInterval = 50 * time.Millisecond
 )
 
 // stop performs the planned stop within the configured time. Callers are served until the
-// platform has sent them to other nodes; other nodes are notified at once to send their calls
-// elsewhere.
+// platform has sent them to other nodes. From then on, no request is read that is not being read
+// yet, so that those that were read can be answered. Other nodes are notified at once to send their
+// calls elsewhere.
 func (m *Mesh) stop() {
 	stopTimeout := m.Config.Mesh.StopTimeout()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout-stopMargin)
 	defer cancel()
 	m.Ready.Stop()
 	m.Front.Stop()
+	defer time.AfterFunc(stopTimeout/acceptDivisor, m.Ingress.Drain).Stop()
 	notice := time.After(min(maxStopNotice, stopTimeout/noticeDivisor*2))
 	m.Leases.Stop(ctx)
 	m.Server.Drain()
 	m.Membership.Leave(ctx)
 	<-notice
 	_ = m.callers.Close()
-	for m.Front.CloseIdle() > 0 && ctx.Err() == nil {
+	for m.Front.Drain() > 0 && ctx.Err() == nil {
 		sleepContext(ctx, meshIdlePollInterval)
 	}
 	m.Server.WaitIdle(ctx)
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -74,7 +74,7 @@
 // certificate cannot be read.
 func NewMesh(c *config.Node, log BaseLog) (*Mesh, error) {
 	wire.Build(
-		wire.Struct(new(Mesh), "Config", "Log", "Metric", "Front", "Announce", "Ready",
+		wire.Struct(new(Mesh), "Config", "Log", "Metric", "Front", "Ingress", "Announce", "Ready",
 			"PeerServer", "PeerClient", "Follower", "Membership", "Leases", "Shares", "Fences", "Server", "Finder"),
 		provideLog, provideBodyMemory, provideMeshSelf, provideSource, providePeerTLS, provideStore, provideDocumentOptions, document.New, provideStartRows, provideMeshMembershipOptions,
 		provideMeshDialect, provideCallerDialect, provideRetryLimits, provideAnnounce, provideReady, provideFront, provideLeases, provideFinder,
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -146,6 +146,7 @@
 		Log:        logger,
 		Metric:     set,
 		Front:      frontServer,
+		Ingress:    handler,
 		Announce:   announceHandler,
 		Ready:      readyHandler,
 		PeerServer: peerServer,
