Refuse late requests of a planned stop outside of a mesh too

What callers saw: nothing yet; the same cause as in a mesh, looked for in the other assembly. While a stopping node waits for one long request, it goes on taking requests from other kept connections and uploads, up to the moment when it cuts what runs.

Cause: nothing looked at how late in the stop a request is dispatched.

Evidence: read, not played by processes. entry.TestDrainingGateDispatchesNothing tests the refusal at both places, for requests that come and for those whose body was still being read.

Why this works: from half of the stop time on, the gate that all callers' requests pass refuses them as draining with a Retry-After; they have not run. Sub-calls of running calls pass another listener and are still served, since the stop waits for their calls. Both assemblies use one refusal and one fraction.

--- a/internal/call/failure.go
+++ b/internal/call/failure.go
@@ -117,6 +117,16 @@
 	return &Failure{Reason: reason, Outcome: NotRun, Detail: fmt.Sprintf(format, args...)}
 }
 
+// stopRetryAfter is the Retry-After of a stopping node, which ends within the rest of its stop time and
+// may be started again at once.
+const stopRetryAfter = time.Second
+
+// NewStopRefusal returns the refusal of a request that a stopping node has received too late to wait
+// for its answer.
+func NewStopRefusal() *Failure {
+	return NewRefusal(Draining, "the node is stopping").WithRetryAfter(stopRetryAfter)
+}
+
 // NewUnknownOutcome returns the failure of a call that may have run.
 func NewUnknownOutcome(reason Reason, format string, args ...any) *Failure {
 	return &Failure{Reason: reason, Outcome: Unknown, Detail: fmt.Sprintf(format, args...)}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/call"
@@ -41,6 +42,7 @@
 	freshness  Freshness
 	shares     Shares
 	dispatcher Dispatcher
+	draining   atomic.Bool
 }
 
 // New returns a gate that passes admitted requests to d.
@@ -48,6 +50,9 @@
 	return &Gate{clock: c, views: v, freshness: f, shares: s, dispatcher: d}
 }
 
+// Drain makes the gate refuse all requests that are not dispatched yet, which then do not run.
+func (g *Gate) Drain() { g.draining.Store(true) }
+
 // Admission is the state of an admitted request, whose body may now be read.
 type Admission struct {
 	Route   *settings.CompiledRoute
@@ -61,6 +66,9 @@
 // Admit checks a request by its head alone, before its body is read. A refused request does not
 // run.
 func (g *Gate) Admit(ctx context.Context, method, path, key string) (*Admission, *call.Failure) {
+	if g.draining.Load() {
+		return nil, call.NewStopRefusal()
+	}
 	view := g.views.View()
 	if view == nil {
 		return nil, call.NewRefusal(call.SettingsMissing, "the node has no settings yet").WithRetryAfter(time.Second)
@@ -114,6 +122,9 @@
 		f := call.NewRefusal(call.DeadlinePassed, "the deadline passed before the request was sent on")
 		return call.FailedResult(f, a.Route.Retries)
 	}
+	if g.draining.Load() {
+		return call.FailedResult(call.NewStopRefusal(), a.Route.Retries)
+	}
 	if f := g.reauthenticate(a); f != nil {
 		return call.FailedResult(f, a.Route.Retries)
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -80,6 +80,20 @@
 	}
 }
 
+// A draining gate refuses requests that come, and those whose body was still being read.
+func TestDrainingGateDispatchesNothing(t *testing.T) {
+	deps := &testDependencies{view: viewWithGrantedKey()}
+	g, a := admit(t, deps, "POST", "/closed/1")
+	g.Drain()
+	_, refusal := g.Admit(t.Context(), "POST", "/closed/1", "k")
+	for _, f := range []*call.Failure{refusal, g.Dispatch(t.Context(), a, time.Second, &call.Request{}).Failure} {
+		require.Equal(t, call.Draining, f.Reason)
+		require.Equal(t, call.NotRun, f.Outcome)
+		require.Positive(t, f.RetryAfter)
+	}
+	require.Zero(t, deps.dispatched)
+}
+
 func TestOpenRouteIgnoresStaleSettings(t *testing.T) {
 	deps := &testDependencies{view: viewWithGrantedKey()}
 	g, a := admit(t, deps, "GET", "/open")
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -25,10 +25,6 @@
 	"comfreycart.dev/comfreycart/internal/table"
 )
 
-// drainRetryAfter is the Retry-After of a draining node, which ends within the rest of its stop time
-// and may be started again at once.
-const drainRetryAfter = time.Second
-
 // settingsRetryAfter is the Retry-After of a node without settings. Loading the first settings
 // takes a few calls to the platform.
 const settingsRetryAfter = 500 * time.Millisecond
@@ -165,7 +161,7 @@
 		return call.Result{Failure: f}
 	}
 	if h.draining.Load() {
-		return call.Result{Failure: call.NewRefusal(call.Draining, "the node is stopping").WithRetryAfter(drainRetryAfter)}
+		return call.Result{Failure: call.NewStopRefusal()}
 	}
 	if f := h.admit(ctx, state, r); f != nil {
 		return call.Result{Failure: f}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -14,6 +14,9 @@
 	// noticeDivisor bounds the notice to this fraction (1/n) of a short drain time. Mesh.stop
 	// allows twice that fraction of its stop time.
 	noticeDivisor = 4
+	// acceptDivisor is the fraction (1/n) of the stop time after which a stopping node refuses
+	// the requests that it has received whole only then, so that those before can finish.
+	acceptDivisor = 2
 	// outcomeQueryWindow is how long the node still answers queries of other nodes whether a
 	// call whose connection was lost has run. It exceeds the timeout of such a query.
 	outcomeQueryWindow = 600 * time.Millisecond
@@ -25,7 +28,7 @@
 // drain performs the planned stop within the configured time. Each step waits until nothing
 // depends on what it shuts down: the node first refuses new calls and notifies the other
 // nodes, then callers disconnect, running calls and their sub-calls finish, and connections
-// close.
+// close. Callers' requests that come too late to be waited for are refused.
 func (n *Node) drain() {
 	drainTimeout := n.Config.DrainTimeout()
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
@@ -34,6 +37,7 @@
 	defer cancelDrain()
 
 	n.leaving.Store(true)
+	defer time.AfterFunc(drainTimeout/acceptDivisor, n.Gate.Drain).Stop()
 	n.Server.Drain()
 	notice := time.After(min(maxLeaveNotice, drainTimeout/noticeDivisor))
 	ownedSlots := n.Claims.OwnedSlots()
--- a/internal/node/mesh.go
+++ b/internal/node/mesh.go
@@ -160,9 +160,6 @@
 	// maxStopNotice is how long a stopping node still accepts callers: the platform checks
 	// readiness twice, a second apart, before it sends callers to other nodes.
 	maxStopNotice = 2500 * time.Millisecond
-	// acceptDivisor is the fraction (1/n) of the stop time after which a stopping node refuses
-	// the requests that it has received whole only then, so that those before can finish.
-	acceptDivisor = 2
 	// stopMargin is the time reserved for closing if requests take all of the stop time.
 	stopMargin = 400 * time.Millisecond
 	// meshIdlePollInterval is how often a stopping node closes callers' connections that became
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"comfreycart.dev/comfreycart/internal/api/egress"
 	"comfreycart.dev/comfreycart/internal/certs"
 	"comfreycart.dev/comfreycart/internal/config"
+	"comfreycart.dev/comfreycart/internal/entry"
 	"comfreycart.dev/comfreycart/internal/metric"
 	"comfreycart.dev/comfreycart/internal/peer"
 	"comfreycart.dev/comfreycart/internal/system"
@@ -48,6 +49,7 @@
 	Config     *config.Node
 	Log        zerolog.Logger
 	Metric     *metric.Set
+	Gate       *entry.Gate
 	Caller     *caller.Handler
 	Backend    *backend.Handler
 	Egress     *egress.Handler
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -32,7 +32,7 @@
 // New assembles a node, which Run starts. It returns an error if a certificate cannot be read.
 func New(c *config.Node, log BaseLog) (*Node, error) {
 	wire.Build(
-		wire.Struct(new(Node), "Config", "Log", "Metric", "Caller", "Backend", "Egress", "Admin",
+		wire.Struct(new(Node), "Config", "Log", "Metric", "Gate", "Caller", "Backend", "Egress", "Admin",
 			"PeerServer", "PeerClient", "Follower", "Membership", "Homes", "Shares", "Fences", "Server", "Claims"),
 		provideLog, provideBodyMemory, provideSelf, provideSource, providePeerTLS, provideStore, provideFollowerOptions, provideFollower, provideAcceptor, provideMembershipOptions,
 		provideBackend, provideAdmin, provideStatus,
--- a/internal/node/wire_gen.go
+++ b/internal/node/wire_gen.go
@@ -78,6 +78,7 @@
 		Config:     c,
 		Log:        logger,
 		Metric:     set,
+		Gate:       gate,
 		Caller:     handler,
 		Backend:    backendHandler,
 		Egress:     egressHandler,
