An answer of HTTP/1.0 with a transfer encoding is no answer

What callers saw: nothing yet; a further way to a body that is not the backend server's, found while looking at what the parser of heads ignores. A 200 of HTTP/1.0 with "Transfer-Encoding: chunked" was passed on with the sizes of its chunks as a part of the body ("4\r\nbody\r\n0\r\n\r\n").

Cause: HTTP/1.0 has no transfer encodings; the standard library drops the field and reads to the end of the connection.

Evidence: serve.TestEncodedAnswerOfHTTP10IsNoAnswer fails before the change.

Why this works: the reader that checks the head notes the field, which the parser removes, and such an answer fails as answer-malformed. Answers of HTTP/1.0 without the field are served as before.

--- a/internal/system/serve/exchange.go
+++ b/internal/system/serve/exchange.go
@@ -163,6 +163,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if cn.head.isEncoded && !resp.ProtoAtLeast(1, 1) {
+			// The parser ignores the encoding, and the chunks' sizes would become a part of the body.
+			return nil, errHeadMalformed
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errUpgrade
 		}
--- a/internal/system/serve/head.go
+++ b/internal/system/serve/head.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -33,6 +34,10 @@
 	state  headState
 	bytes  int
 	lines  int
+	// name is the field's name that is being read, cut off behind the length of transferEncoding.
+	name []byte
+	// isEncoded is set if the head has the field transferEncoding.
+	isEncoded bool
 	// err is the error of the head, kept since the parser above may report another one for it.
 	err error
 }
@@ -55,7 +60,7 @@
 
 // begin starts the head of the next answer. buffered holds the bytes that were read before.
 func (h *headReader) begin(buffered []byte) {
-	h.state, h.bytes, h.lines, h.err = inRestOfLine, 0, 0, nil
+	h.state, h.bytes, h.lines, h.isEncoded, h.err = inRestOfLine, 0, 0, false, nil
 	h.scan(buffered)
 }
 
@@ -92,7 +97,6 @@
 
 // next returns the state after b. It sets err if b is not allowed.
 func (h *headReader) next(b byte) headState {
-	isToken := httpguts.IsTokenRune(rune(b))
 	switch {
 	case h.state == inRestOfLine && b == '\r':
 		return endOfLine
@@ -104,14 +108,28 @@
 		return endOfHead
 	case (h.state == atLineStart || h.state == endOfHead) && b == '\n':
 		return notInHead
-	case (h.state == atLineStart || h.state == inName) && isToken:
+	case (h.state == atLineStart || h.state == inName) && httpguts.IsTokenRune(rune(b)):
+		h.addToName(b)
 		return inName
 	case h.state == inName && b == ':':
+		h.isEncoded = h.isEncoded || strings.EqualFold(string(h.name), transferEncoding)
 		return inRestOfLine
 	}
 	h.err = errHeadMalformed
 	return h.state
 }
 
+// addToName adds a byte to the name, or begins a new one.
+func (h *headReader) addToName(b byte) {
+	if h.state == atLineStart {
+		h.name = h.name[:0]
+	}
+	if len(h.name) <= len(transferEncoding) {
+		h.name = append(h.name, b)
+	}
+}
+
+const transferEncoding = "Transfer-Encoding"
+
 // del is the control byte that stands behind the printable ones.
 const del = 0x7f
--- a/internal/system/serve/head_test.go
+++ b/internal/system/serve/head_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -91,6 +92,30 @@
 	}
 }
 
+// HTTP/1.0 has no transfer encodings, so that the parser ignores one and takes the chunks' sizes for a part
+// of the body.
+func TestEncodedAnswerOfHTTP10IsNoAnswer(t *testing.T) {
+	for _, name := range []string{"Transfer-Encoding", "transfer-encoding", "TRANSFER-ENCODING"} {
+		for _, position := range []string{"%sComfreycart-Call: a\r\n", "Comfreycart-Call: a\r\n%s", "Comfreycart-Call: a\r\n%sContent-Length: 4\r\n"} {
+			b := startBackend(t, func(_ *http.Request, c net.Conn) {
+				_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\n"+fmt.Sprintf(position, name+": chunked\r\n")+"\r\n4\r\nbody\r\n0\r\n\r\n")
+				_ = c.Close()
+			})
+			got, f := runExchange(t, newPool(b.address), &lenientDialect{}, "a", "", 5*time.Second)
+			require.NotNil(t, f, "passed on with the body %q", got)
+			require.Equal(t, call.AnswerMalformed, f.Reason)
+			require.Equal(t, call.Unknown, f.Outcome)
+		}
+	}
+	b := startBackend(t, func(_ *http.Request, c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\nComfreycart-Call: a\r\nTransfer-Encodings: x\r\n\r\nbody")
+		_ = c.Close()
+	})
+	got, f := runExchange(t, newPool(b.address), &lenientDialect{}, "a", "", 5*time.Second)
+	require.Nil(t, f)
+	require.Equal(t, "body", got)
+}
+
 // Every name that HTTP allows is passed on, also where the head comes byte by byte.
 func TestAnswerWithUnusualFieldNamesIsServed(t *testing.T) {
 	head := "HTTP/1.1 200 \tOK \xf6\r\nComfreycart-Call: a\r\n!#$%&'*+-.^_`|~09azAZ: \t odd value: with colon \xf6\t\r\nX-Empty:\r\nContent-Length: 4\r\n\r\nbody"
