An answer in another protocol's version is no answer

What callers saw: nothing yet; found beside the status line's other bytes. An answer that begins with "HTTP/2.0 200 OK" or "HTTP/0.9 200 OK" was passed on as if it were one of HTTP/1.

Cause: the standard library's parser accepts any version of the form HTTP/digit.digit.

Why this works: the version is checked with the status. The reasons why bytes are no answer now have a type of their own, so that each of them counts as answer-malformed.

--- a/internal/system/serve/exchange.go
+++ b/internal/system/serve/exchange.go
@@ -29,7 +29,6 @@
 var (
 	errTooLarge  = errors.New("answer exceeds the route's size limit")
 	errOtherCall = errors.New("answer belongs to another call")
-	errStatus    = errors.New("answer has a status that HTTP does not define")
 	errUpgrade   = errors.New("answer switches to another protocol")
 )
 
@@ -163,6 +162,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if resp.ProtoMajor != 1 {
+			return nil, errVersion
+		}
 		if cn.head.isEncoded && !resp.ProtoAtLeast(1, 1) {
 			// The parser ignores the encoding, and the chunks' sizes would become a part of the body.
 			return nil, errHeadMalformed
@@ -231,7 +233,7 @@
 		return call.NewUnknownOutcome(call.AnswerTooLarge, "the answer of %s exceeds %d bytes", x.call.Service, x.call.AnswerLimit)
 	case errors.Is(err, memory.ErrExhausted):
 		return call.NewUnknownOutcome(call.AnswerMemory, "this node has no memory for the answer of %s", x.call.Service)
-	case errors.Is(err, errHeadTooLarge), errors.Is(err, errHeadMalformed), errors.Is(err, errTooManyInterim), errors.Is(err, errStatus):
+	case errors.As(err, new(malformedError)):
 		return call.NewUnknownOutcome(call.AnswerMalformed, "the backend server of %s: %s", x.call.Service, err)
 	case errors.Is(err, errOtherCall):
 		return call.NewUnknownOutcome(call.BackendLost, "the backend server of %s answered another call", x.call.Service)
--- a/internal/system/serve/head.go
+++ b/internal/system/serve/head.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"errors"
 	"io"
 	"strings"
 
@@ -19,10 +18,18 @@
 	maxInformational = 16
 )
 
-var (
-	errHeadTooLarge   = errors.New("the answer's head has no end")
-	errHeadMalformed  = errors.New("the answer's head has bytes that HTTP does not allow there")
-	errTooManyInterim = errors.New("too many informational answers")
+// malformedError says why the bytes that a backend server sent are no answer.
+type malformedError string
+
+// Error implements error.
+func (e malformedError) Error() string { return string(e) }
+
+const (
+	errHeadTooLarge   malformedError = "the answer's head has no end"
+	errHeadMalformed  malformedError = "the answer's head has bytes that HTTP does not allow there"
+	errVersion        malformedError = "the answer has another protocol version than HTTP/1"
+	errStatus         malformedError = "the answer has a status that HTTP does not define"
+	errTooManyInterim malformedError = "too many informational answers"
 )
 
 // headReader reads from a connection and fails in the head of an answer once the head exceeds
--- a/internal/system/serve/head_test.go
+++ b/internal/system/serve/head_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,6 +117,19 @@
 	require.Equal(t, "body", got)
 }
 
+// An answer in another protocol's version is no answer, whatever follows it.
+func TestAnswerOfAnotherProtocolVersionIsNoAnswer(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.1", "HTTP/1", "HTTP/1.x", "HTTP/1.10", "http/1.1", "HTTPS/1.1", "RTSP/1.0", "ICY"} {
+		b := startBackend(t, func(r *http.Request, c net.Conn) {
+			_, _ = io.WriteString(c, strings.Replace(formatAnswer(r.Header.Get(HeaderCall), "body"), "HTTP/1.1", version, 1))
+			_ = c.Close()
+		})
+		_, f := runExchange(t, newPool(b.address), &lenientDialect{}, "a", "", 5*time.Second)
+		require.NotNil(t, f, version)
+		require.Equal(t, call.Unknown, f.Outcome)
+	}
+}
+
 // Every name that HTTP allows is passed on, also where the head comes byte by byte.
 func TestAnswerWithUnusualFieldNamesIsServed(t *testing.T) {
 	head := "HTTP/1.1 200 \tOK \xf6\r\nComfreycart-Call: a\r\n!#$%&'*+-.^_`|~09azAZ: \t odd value: with colon \xf6\t\r\nX-Empty:\r\nContent-Length: 4\r\n\r\nbody"
