soak: uploads that are reset and heads that HTTP does not allow

Two new faults of backend servers: long uploads answered without a length and reset, and eight ways in which a head is malformed. Every fourth request has a body of 1 MiB. Older seeds draw from their old faults; seeds 7 and 8 are new, with no cause.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,11 +14,16 @@
 	workers         = 10
 	callerPause     = 25 * time.Millisecond
 	requestDeadline = 1500 * time.Millisecond
+	// Every longBodyEvery-th request has a body of longBodyBytes, more than the buffers of a connection
+	// hold.
+	longBodyEvery = 4
+	longBodyBytes = 1 << 20
 )
 
 // attempt is one request of a caller and its response, or the error that the caller got.
 type attempt struct {
 	id, method, account, key string
+	sentBody                 string
 	node                     string
 	sentAt, answeredAt       time.Time
 	status                   int
@@ -90,6 +94,10 @@
 	keys := c.keys[account]
 	a := &attempt{id: fmt.Sprintf("a%d", c.lastID), account: account, key: keys[rng.IntN(len(keys))]}
 	a.method = []string{http.MethodGet, http.MethodPost}[rng.IntN(2)]
+	a.sentBody = a.id
+	if c.lastID%longBodyEvery == 0 {
+		a.sentBody = strings.Repeat("x", longBodyBytes)
+	}
 	return a
 }
 
@@ -105,7 +113,7 @@
 
 // sendRequest sends an attempt to a node and records the response in it.
 func sendRequest(client *http.Client, n *node, a *attempt, path string) error {
-	req, err := http.NewRequest(a.method, "http://"+n.address(portCaller)+path, bytes.NewReader([]byte(a.id)))
+	req, err := http.NewRequest(a.method, "http://"+n.address(portCaller)+path, strings.NewReader(a.sentBody))
 	if err != nil {
 		return err
 	}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -189,6 +189,20 @@
 		_, _ = i.SendAnnouncement(late)
 	}},
 	{"odd announcement", false, true, func(inj *faultInjector, n, _ *node, d time.Duration) { inj.announceOddly(n, d) }},
+	{"uploads reset", false, true, func(inj *faultInjector, n, _ *node, d time.Duration) {
+		inj.injectBackendFaults(n, instance.Faults{ResetUpload: true}, d)
+	}},
+	{"heads malformed", false, true, func(inj *faultInjector, n, _ *node, d time.Duration) {
+		edit := headEdits[int(d)%len(headEdits)]
+		inj.injectBackendFaults(n, instance.Faults{EditAnswer: func(answer string) string { return strings.Replace(answer, edit[0], edit[1], 1) }}, d)
+	}},
+}
+
+// headEdits turn an answer into one whose head HTTP does not allow.
+var headEdits = [][2]string{
+	{"200 OK", "000 None"}, {"200 OK", "099 Low"}, {"HTTP/1.1", "HTTP/2.0"}, {"Response-Seal", "X Note: 1\r\nResponse-Seal"},
+	{"Content-Length:", "Connection: close\r\nContent-Length :"}, {"Content-Length", "\tmore\r\nContent-Length"},
+	{"Response-Seal", "X\x01Note: 1\r\nResponse-Seal"}, {"200 OK", "200 OK\rX-Note: 1"},
 }
 
 // injectIfFree injects one fault, unless its node or, for a fault of the store, the store
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -42,10 +42,11 @@
 	limitSlack       = 5
 )
 
-// firstKinds and secondKinds are the numbers of faults that the older regression seeds draw from.
+// firstKinds, secondKinds and thirdKinds are the numbers of faults that the older regression seeds draw from.
 const (
 	firstKinds  = 22
 	secondKinds = 25
+	thirdKinds  = 30
 )
 
 // regressionSeeds are the seeds that CI runs: some that pass, and each that ever failed, with the cause
@@ -60,8 +61,10 @@
 	{134, "connections between nodes that carried no more data were reused repeatedly", firstKinds},
 	{3, "none", secondKinds},
 	{4, "none", secondKinds},
-	{5, "none", len(faultKinds)},
-	{6, "none", len(faultKinds)},
+	{5, "none", thirdKinds},
+	{6, "none", thirdKinds},
+	{7, "none", len(faultKinds)},
+	{8, "none", len(faultKinds)},
 }
 
 // TestSoak runs the regression seeds.
@@ -124,7 +127,8 @@
 				c.mu.Lock()
 				c.lastID++
 				keys := c.keys["large"]
-				a := &attempt{id: fmt.Sprintf("w%d", c.lastID), method: method, account: "large", key: keys[len(keys)-1]}
+				id := fmt.Sprintf("w%d", c.lastID)
+				a := &attempt{id: id, sentBody: id, method: method, account: "large", key: keys[len(keys)-1]}
 				c.mu.Unlock()
 				c.send(client, n, a)
 				if a.status == http.StatusOK {
@@ -168,8 +172,8 @@
 			t.Errorf("%s at %s ran with a key that was withdrawn %v earlier", a.id, a.node, a.sentAt.Sub(acked))
 		}
 		for _, r := range ran {
-			if r.Account != a.account || r.Authorization != "" || r.CallerService == "" || r.Method != a.method || r.Body != a.id {
-				t.Errorf("%s at %s reached the backend server as an unexpected request: %+v", a.id, a.node, r)
+			if r.Account != a.account || r.Authorization != "" || r.CallerService == "" || r.Method != a.method || !r.BodyUnread && r.Body != a.sentBody {
+				t.Errorf("%s at %s reached the backend server as an unexpected request: %.400s", a.id, a.node, fmt.Sprintf("%+v", r))
 			}
 			if a.account == "small" {
 				small = append(small, r.At)
--- a/test/standin/instance/instance.go
+++ b/test/standin/instance/instance.go
@@ -47,6 +47,8 @@
 // Run is a request that was run.
 type Run struct {
 	AttemptID, Account, CallerService, Method, Target, Host, Body string
+	// BodyUnread is set if the request was answered before its body was read.
+	BodyUnread bool
 	// Authorization should always be empty: nodes must not pass a caller's key on.
 	Authorization string
 	At            time.Time
@@ -258,7 +260,7 @@
 
 // resetUpload answers a request as Faults.ResetUpload says.
 func (i *Instance) resetUpload(r *http.Request, c net.Conn) {
-	i.recordRun(r, "")
+	i.recordRun(r, "", true)
 	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt-Id: "+r.Header.Get("Attempt-Id")+"\r\nResponse-Seal: seal\r\n\r\nthe first part")
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
@@ -293,7 +295,7 @@
 	case f.Shed, f.ShedEvery > 0 && n%f.ShedEvery == 0:
 		answer = responseHead(http.StatusServiceUnavailable, attempt, "Not-Executed: 1\r\n", 0)
 	default:
-		i.recordRun(r, body)
+		i.recordRun(r, body, false)
 		if !i.execute(ctx, r, f.Delay) {
 			answer = responseHead(http.StatusInternalServerError, attempt, "", 0)
 			break
@@ -332,12 +334,12 @@
 		status, http.StatusText(status), i.ID, slots)
 }
 
-func (i *Instance) recordRun(r *http.Request, body string) {
+func (i *Instance) recordRun(r *http.Request, body string, bodyUnread bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.runs = append(i.runs, Run{
 		AttemptID: r.Header.Get("Attempt-Id"), Account: r.Header.Get("Tenant"), CallerService: r.Header.Get("Caller-Service"),
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: body, Authorization: r.Header.Get("Authorization"), At: time.Now(),
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: body, BodyUnread: bodyUnread, Authorization: r.Header.Get("Authorization"), At: time.Now(),
 	})
 }
 
