--- a/internal/call/failure.go
+++ b/internal/call/failure.go
@@ -52,7 +52,7 @@
 	AnswerMemory Reason = "answer-memory"
 	// AnswerMalformed means that the backend server sent bytes that are no answer: a head
 	// without end or with bytes that HTTP does not allow there, too many informational answers, or
-	// an unknown status.
+	// an unknown status or protocol version.
 	AnswerMalformed   Reason = "answer-malformed"
 	DeadlinePassed    Reason = "deadline-passed"
 	Cancelled         Reason = "cancelled"
--- a/internal/node/mesh.go
+++ b/internal/node/mesh.go
@@ -169,8 +169,8 @@
 
 // stop performs the planned stop within the configured time. Callers are served until the
 // platform has sent them to other nodes. From then on, no request is read that is not being read
-// yet, so that those that were read can be answered. Other nodes are notified at once to send their
-// calls elsewhere.
+// yet, so that those that were read can be answered; what is read too late for that is refused. Other
+// nodes are notified at once to send their calls elsewhere.
 func (m *Mesh) stop() {
 	stopTimeout := m.Config.Mesh.StopTimeout()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout-stopMargin)
--- a/internal/tcp/reset.go
+++ b/internal/tcp/reset.go
@@ -12,7 +12,7 @@
 
 // ResetConn is the client's side of a TCP connection on which an answer may end with the
 // connection, possibly while the request is still being written. Its reads return io.EOF only if the
-// peer ended the stream.
+// peer ended the stream. One goroutine may read while another one writes.
 //
 // The kernel reports the error of a connection once. If a write gets it, a read that follows sees the
 // end of the stream, as if the peer had sent all of its answer.
@@ -46,6 +46,7 @@
 	if err != io.EOF {
 		return n, err
 	}
+	// This fails only on a closed connection, whose writes have ended.
 	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -61,7 +62,8 @@
 	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
 }
 
-// SyscallConn implements syscall.Conn.
+// SyscallConn implements syscall.Conn. It returns errors.ErrUnsupported if the connection has no file
+// descriptor.
 func (c *ResetConn) SyscallConn() (syscall.RawConn, error) {
 	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
