A stop waits for the last reply of a connection

What callers saw: a planned stop cut answers that were being written, also to requests that may not be repeated: the connection ended in the middle of an answer, or before its first byte.

Cause: before the last reply of a connection is written, the connection is marked as closing. The stop took every closing connection for a closed one: it ended the sending side at once, under the write, and did not wait for it.

Why this works: only a connection without any request that is read, served or still to be answered is closed by the stop and counts as ended. On the others the goroutine that writes the last reply ends the sending side after it, as it does without a stop.

--- a/internal/api/front/conn.go
+++ b/internal/api/front/conn.go
@@ -194,20 +194,20 @@
 	return c.isClosing
 }
 
-// drain closes the connection if no request is being read or served on it. Otherwise no further
-// one is read. It reports whether the connection is closing.
+// drain closes the connection if no request is being read or served on it, and reports whether that is
+// so. Otherwise no further one is read, and the connection closes after the last reply.
 func (c *conn) drain() bool {
 	c.mu.Lock()
 	c.isDraining = true
-	if c.pending == 0 && !c.isReading {
+	isIdle := c.pending == 0 && !c.isReading
+	if isIdle {
 		c.isClosing = true
 	}
-	closing := c.isClosing
 	c.mu.Unlock()
-	if closing {
+	if isIdle {
 		c.closeWrite()
 	}
-	return closing
+	return isIdle
 }
 
 // closeWrite closes the sending side and limits further reading to lingerTimeout.
--- a/internal/api/front/server.go
+++ b/internal/api/front/server.go
@@ -139,9 +139,9 @@
 func (s *Server) Stop() { s.stopping.Store(true) }
 
 // Drain ends the connections: no request is read that is not being read yet, and each connection
-// closes once those that were read are answered. It does not wait, and returns how many connections are
-// not closing yet. Call it again until there are none, since a connection may become idle between two
-// replies.
+// closes once those that were read are answered. It does not wait, and returns on how many connections a
+// request is being read or served or its reply is being written. Call it again until there are none, since
+// a connection may become idle without a reply that closes it.
 func (s *Server) Drain() int {
 	s.mu.Lock()
 	all := make([]*conn, 0, len(s.conns))
--- a/internal/api/front/stop_test.go
+++ b/internal/api/front/stop_test.go
@@ -73,6 +73,52 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// delayedWrites is a listener whose connections write only once release is closed.
+type delayedWrites struct {
+	net.Listener
+	release chan struct{}
+}
+
+type delayedConn struct {
+	*net.TCPConn
+	release chan struct{}
+}
+
+func (l delayedWrites) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return delayedConn{conn.(*net.TCPConn), l.release}, nil
+}
+
+func (c delayedConn) Write(b []byte) (int, error) {
+	<-c.release
+	return c.TCPConn.Write(b)
+}
+
+// Schedule: the server drains while it is in the call that writes the last reply of a connection. The
+// connection counts as busy and is closed only after that reply.
+func TestDrainDuringTheWriteOfTheLastReply(t *testing.T) {
+	s, handler, _ := startServer(t, testLimits())
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	release := make(chan struct{})
+	go func() { _ = s.Serve(delayedWrites{lis, release}) }()
+	c := dial(t, lis.Addr().String())
+	s.Stop()
+	c.send(getRequest("/a"))
+	require.Eventually(t, func() bool { return handler.served.Load() == 1 }, 5*time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	require.Equal(t, 1, s.Drain(), "the reply is not written")
+	close(release)
+	resp, body := c.readResponse()
+	require.Equal(t, "/a ", body)
+	require.True(t, resp.Close)
+	require.Eventually(t, func() bool { return s.Drain() == 0 }, 5*time.Second, time.Millisecond)
+}
+
 // A caller that always has a request outstanding would keep a connection open until the stop ends and
 // cuts it. While the server drains, what it has read is answered, and the last of these replies closes
 // the connection.
