--- a/internal/node/mesh_stop_test.go
+++ b/internal/node/mesh_stop_test.go
@@ -51,11 +51,7 @@
 // A caller always has a second request outstanding on its connection. The stopping node answers each
 // request that it has passed on and closes the connection long before its stop time is over.
 func TestMeshPlannedStopEndsBusyConnections(t *testing.T) {
-	f := startMesh(t, "front", "deep", "front")
-	f.publishSettings(2, "k1")
-	f.waitUntilReady()
-	a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
-	f.waitUntilAllServe(b, "/safe/1", "k1", a, c)
+	f, _, b, _ := startServingMesh(t)
 	for _, n := range f.nodes {
 		n.instance.SetFaults(instance.Faults{Delay: 200 * time.Millisecond})
 	}
@@ -84,11 +80,7 @@
 // A request whose body comes whole only late in a planned stop is refused and has not run, since the
 // node could not wait for its answer.
 func TestMeshPlannedStopRefusesWhatComesTooLate(t *testing.T) {
-	f := startMesh(t, "front", "deep", "front")
-	f.publishSettings(2, "k1")
-	f.waitUntilReady()
-	a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
-	f.waitUntilAllServe(b, "/safe/1", "k1", a, c)
+	f, _, b, _ := startServingMesh(t)
 	for _, n := range f.nodes {
 		n.instance.SetFaults(instance.Faults{Delay: time.Second})
 	}
--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -68,6 +68,17 @@
 	return f
 }
 
+// startServingMesh starts a mesh whose nodes a and c have a backend server of the service "front", b one of
+// "deep", and returns once b has had requests with the key "k1" answered by both of "front".
+func startServingMesh(t *testing.T) (f *meshFleet, a, b, c *meshNode) {
+	f = startMesh(t, "front", "deep", "front")
+	f.publishSettings(2, "k1")
+	f.waitUntilReady()
+	a, b, c = f.nodes[0], f.nodes[1], f.nodes[2]
+	f.waitUntilAllServe(b, "/safe/1", "k1", a, c)
+	return f, a, b, c
+}
+
 func (f *meshFleet) addNode(id, service string) *meshNode {
 	t := f.t
 	address := func(port int) string { return f.network.Address(len(f.nodes)+1, port) }
@@ -238,11 +249,7 @@
 // A shed request did not run: it succeeds at another endpoint or is refused. A request that may
 // have run is retried only if it is idempotent, since it could otherwise run twice.
 func TestMeshRetriesUnexecutedOrIdempotentRequests(t *testing.T) {
-	f := startMesh(t, "front", "deep", "front")
-	f.publishSettings(2, "k1")
-	f.waitUntilReady()
-	a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
-	f.waitUntilAllServe(b, "/safe/1", "k1", a, c)
+	f, a, b, c := startServingMesh(t)
 	a.instance.SetFaults(instance.Faults{Shed: true})
 	for range 4 {
 		attempt, resp, _ := f.sendRequest(b, http.MethodPost, "/unsafe/1", "k1", "x")
@@ -271,11 +278,7 @@
 // A backend server answers long uploads without a length and resets the connection in the middle of its
 // answer. The part that came is no answer.
 func TestMeshPassesOnNoAnswerThatWasReset(t *testing.T) {
-	f := startMesh(t, "front", "deep", "front")
-	f.publishSettings(2, "k1")
-	f.waitUntilReady()
-	a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
-	f.waitUntilAllServe(b, "/safe/1", "k1", a, c)
+	f, a, b, c := startServingMesh(t)
 	a.instance.SetFaults(instance.Faults{ResetUpload: true})
 	c.instance.SetFaults(instance.Faults{ResetUpload: true})
 	upload := strings.Repeat("x", 4<<20)
@@ -350,11 +353,7 @@
 // A backend server that announced its departure gets no more requests, even from nodes that
 // have not learned of it yet.
 func TestMeshSendsNothingToALeavingBackendServer(t *testing.T) {
-	f := startMesh(t, "front", "deep", "front")
-	f.publishSettings(2, "k1")
-	f.waitUntilReady()
-	a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
-	f.waitUntilAllServe(b, "/safe/1", "k1", a, c)
+	f, a, b, c := startServingMesh(t)
 	status, err := a.instance.Deregister()
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status)
@@ -372,11 +371,7 @@
 // A node acknowledged a departure and was restarted. An announcement of the departed instance that was
 // on its way all the while brought it back, and the instance got a request seconds after its departure.
 func TestMeshRestartedNodeSendsNothingToADepartedInstance(t *testing.T) {
-	f := startMesh(t, "front", "deep", "front")
-	f.publishSettings(2, "k1")
-	f.waitUntilReady()
-	a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
-	f.waitUntilAllServe(b, "/safe/1", "k1", a, c)
+	f, a, b, c := startServingMesh(t)
 	a.stopAnnouncing()
 	late := a.instance.Announcement("ready")
 	status, err := a.instance.Deregister()
@@ -413,11 +408,7 @@
 // A planned stop must not fail a request: neither those of callers at the stopping node nor
 // those that it runs for other nodes.
 func TestMeshPlannedStopCompletesRequests(t *testing.T) {
-	f := startMesh(t, "front", "deep", "front")
-	f.publishSettings(2, "k1")
-	f.waitUntilReady()
-	a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
-	f.waitUntilAllServe(b, "/safe/1", "k1", a, c)
+	f, a, b, c := startServingMesh(t)
 	a.instance.SetFaults(instance.Faults{Delay: 300 * time.Millisecond})
 	c.instance.SetFaults(instance.Faults{Delay: 300 * time.Millisecond})
 	var wg sync.WaitGroup
