A reload during a planned stop no longer ends the process

What callers saw: requests in progress at a stopping node ended without an answer as soon as the node got SIGHUP as well.

Cause: SIGTERM ended the goroutine that handles SIGHUP, and that gave the signal up; its default ends the process.

Fix: SIGHUP is handled for the whole life of the process, and from before the configuration file is read. Nothing gives it up any more.

--- a/cmd/comfreycartd/main.go
+++ b/cmd/comfreycartd/main.go
@@ -38,6 +38,10 @@
 
 // Run runs the node until SIGTERM or an interrupt, which start a planned stop.
 func (c *cli) Run() error {
+	// SIGHUP ends a process that does not handle it, so it is handled until the process ends, also
+	// during a planned stop.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	cfg, err := config.Load(c.Config)
 	if err != nil {
 		return err
@@ -52,7 +56,7 @@
 	defer out.Close()
 	log := logging.New(out, cfg.ID)
 	go out.ReportDropped(ctx, log)
-	go validateFileOnHangup(ctx, c.Config, log)
+	go validateFileOnHangup(hangups, c.Config, log)
 	n, err := newNode(cfg, log)
 	if err != nil {
 		return err
@@ -71,18 +75,10 @@
 	return node.NewMesh(cfg, node.BaseLog(log))
 }
 
-// validateFileOnHangup validates the configuration file on each SIGHUP and logs the result, until
-// ctx ends. It does not apply the file: changes take effect at the next start.
-func validateFileOnHangup(ctx context.Context, path string, log zerolog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
+// validateFileOnHangup validates the configuration file on each hangup and logs the result. It does not
+// apply the file: changes take effect at the next start.
+func validateFileOnHangup(hangups <-chan os.Signal, path string, log zerolog.Logger) {
+	for range hangups {
 		if _, err := config.Load(path); err != nil {
 			log.Error().Err(err).Msg("configuration file is invalid")
 			continue
