A connection is closed only once its caller has received the last answer

What callers saw: the beginning of an answer and the end of the connection, most often in a planned stop, when they read slower than the node wrote and sent something more.

Cause: data that arrives at a closed connection resets it, and the kernel then drops what it has not delivered. The server closed 500 ms after the last write, and a stop did not wait for that.

Fix: input is discarded until the caller has closed its side or has acknowledged everything, which the kernel tells; a stop waits for that.

--- a/internal/api/front/conn.go
+++ b/internal/api/front/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"comfreycart.dev/comfreycart/internal/memory"
+	"comfreycart.dev/comfreycart/internal/tcp"
 )
 
 // conn is one client connection. One goroutine reads requests; each request is served
@@ -194,8 +195,9 @@
 	return c.isClosing
 }
 
-// drain closes the connection if no request is being read or served on it, and reports whether that is
-// so. Otherwise no further one is read, and the connection closes after the last reply.
+// drain closes the connection if no request is being read or served on it. Otherwise no further one is
+// read, and the connection closes after the last reply. It reports whether the connection is closed and
+// the caller has received all replies.
 func (c *conn) drain() bool {
 	c.mu.Lock()
 	c.isDraining = true
@@ -204,33 +206,37 @@
 		c.isClosing = true
 	}
 	c.mu.Unlock()
-	if isIdle {
-		c.closeWrite()
+	if !isIdle {
+		return false
 	}
-	return isIdle
+	unreceived, err := tcp.Unacknowledged(c.netConn)
+	c.closeWrite()
+	return err != nil || unreceived == 0
 }
 
-// closeWrite closes the sending side and limits further reading to lingerTimeout.
+// closeWrite closes the sending side and ends reading, so that shutdown goes on.
 func (c *conn) closeWrite() {
-	if tcp, ok := c.netConn.(interface{ CloseWrite() error }); ok {
-		_ = tcp.CloseWrite()
-	}
-	c.reader.startLinger()
+	tcp.CloseWrite(c.netConn)
+	c.reader.stop()
 }
 
-// shutdown closes the connection once all pending replies are written.
+// shutdown closes the connection once all pending replies are written and the caller has received
+// them.
 func (c *conn) shutdown() {
 	c.wg.Wait()
 	c.cancel()
 	if c.shouldLinger() {
-		_, _ = io.Copy(io.Discard, c.buffered)
+		if err := tcp.Linger(c.netConn, writeChunkTimeout); err != nil {
+			c.server.lingerFailed.Do(func() {
+				c.server.log.Warn().Err(err).Msg("connections are closed without knowing whether callers have received their answers")
+			})
+		}
 	}
 	_ = c.netConn.Close()
 	c.server.removeConn(c)
 }
 
-// shouldLinger reports whether to read on after the replies, so that closing the connection
-// does not reset it before the caller has read them.
+// shouldLinger reports whether this side closes the connection. If not, the caller has disconnected.
 func (c *conn) shouldLinger() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/api/front/limited_reader.go
+++ b/internal/api/front/limited_reader.go
@@ -8,7 +8,7 @@
 )
 
 // limitedReader reads from a connection within a byte limit and a time limit. Only the
-// connection's reading goroutine may use it, except for startLinger.
+// connection's reading goroutine may use it, except for stop.
 type limitedReader struct {
 	netConn net.Conn
 	// remainingBytes is how many more bytes may be read; negative means no limit.
@@ -19,9 +19,8 @@
 	lastErr error
 
 	mu sync.Mutex
-	// isLingering is set once reading is limited to lingerTimeout; later deadlines are then
-	// ignored.
-	isLingering bool
+	// isStopped is set once nothing more is to be read; later deadlines are then ignored.
+	isStopped bool
 }
 
 // Read implements io.Reader.
@@ -65,21 +64,21 @@
 	r.setReadDeadline(time.Time{})
 }
 
-// startLinger limits all further reading to lingerTimeout from the first call on. It may be
-// called from any goroutine.
-func (r *limitedReader) startLinger() {
+// stop ends a read in progress and all further ones with a timeout. It may be called from any
+// goroutine.
+func (r *limitedReader) stop() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.isLingering {
-		r.isLingering = true
-		_ = r.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	if !r.isStopped {
+		r.isStopped = true
+		_ = r.netConn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
 func (r *limitedReader) setReadDeadline(t time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.isLingering {
+	if !r.isStopped {
 		_ = r.netConn.SetReadDeadline(t)
 	}
 }
--- a/internal/api/front/server.go
+++ b/internal/api/front/server.go
@@ -10,8 +10,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,10 +36,6 @@
 	// ioChunkBytes is the size of one write of a reply, and the step by which memory is
 	// reserved for a chunked body.
 	ioChunkBytes = 32 << 10
-	// lingerTimeout is how long input is still read after the sending side was closed.
-	// Closing a connection with unread input would send a TCP reset, which may destroy the
-	// reply before the caller has read it.
-	lingerTimeout = 500 * time.Millisecond
 )
 
 // Request is a request with its whole body.
@@ -87,7 +85,9 @@
 	log           zerolog.Logger
 	requestErrors map[int]*metrics.Counter
 
-	stopping atomic.Bool
+	// lingerFailed limits its log line to one.
+	lingerFailed sync.Once
+	stopping     atomic.Bool
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 }
@@ -140,14 +140,11 @@
 
 // Drain ends the connections: no request is read that is not being read yet, and each connection
 // closes once those that were read are answered. It does not wait, and returns on how many connections a
-// request is being read or served or its reply is being written. Call it again until there are none, since
-// a connection may become idle without a reply that closes it.
+// request is being read or served or its reply has not been received. Call it again until there are none,
+// since a connection may become idle without a reply that closes it.
 func (s *Server) Drain() int {
 	s.mu.Lock()
-	all := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		all = append(all, c)
-	}
+	all := slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
 	busy := 0
 	for _, c := range all {
--- a/internal/api/front/stop_test.go
+++ b/internal/api/front/stop_test.go
@@ -1,9 +1,14 @@
 package front
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"strconv"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -156,6 +161,51 @@
 	require.Equal(t, int64(answered), handler.served.Load(), "a request that was served is not answered")
 }
 
+// dialSmallBuffer returns a connection on which little is received that has not been read.
+func dialSmallBuffer(t *testing.T, address string) *client {
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10)
+		})
+		return errors.Join(err, controlErr)
+	}}
+	c, err := d.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return &client{t, c, bufio.NewReader(c)}
+}
+
+// A caller reads the last answer of its connection late while it goes on sending. The data that arrived at the
+// closed connection reset it and destroyed the end of the answer.
+func TestLastReplyIsDeliveredToACallerThatSendsOn(t *testing.T) {
+	for _, last := range []string{"Connection: close\r\n", ""} {
+		t.Run("asked to close "+strconv.FormatBool(last != ""), func(t *testing.T) {
+			limits := testLimits()
+			limits.MaxBodyBytes = 1 << 20
+			s, _, address := startServer(t, limits)
+			c := dialSmallBuffer(t, address)
+			body := strings.Repeat("x", 200<<10)
+			c.send(fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n%s", last, len(body), body))
+			time.Sleep(100 * time.Millisecond)
+			s.Stop()
+			s.Drain()
+			for range 30 {
+				// The server may have closed the connection.
+				_, _ = io.WriteString(c.Conn, getRequest("/b"))
+				time.Sleep(50 * time.Millisecond)
+			}
+			busy := s.Drain()
+			_, got := c.readResponse()
+			require.Equal(t, len("/a ")+len(body), len(got))
+			require.Equal(t, 1, busy, "the answer had not been received")
+			require.NoError(t, c.Close())
+			require.Eventually(t, func() bool { return s.Drain() == 0 }, time.Second, time.Millisecond)
+		})
+	}
+}
+
 // A request whose body is being read when the server drains is the last one of its connection.
 func TestDrainAnswersARequestThatIsBeingRead(t *testing.T) {
 	s, handler, address := startServer(t, testLimits())
