A leaving node outside of a mesh delivers its last answer

What callers would see: the beginning of the last answer of a connection, and its end, if they read slower than the node wrote and sent something more.

Cause: net/http closes a connection right after its last write; data that arrives then resets it, and the kernel drops what it has not delivered.

Fix: the listeners hand out connections whose Close lingers until the peer has received everything, and the stop waits for callers that have not.

--- a/internal/api/front/conn.go
+++ b/internal/api/front/conn.go
@@ -226,7 +226,7 @@
 	c.wg.Wait()
 	c.cancel()
 	if c.shouldLinger() {
-		if err := tcp.Linger(c.netConn, writeChunkTimeout); err != nil {
+		if err := tcp.Linger(c.netConn); err != nil {
 			c.server.lingerFailed.Do(func() {
 				c.server.log.Warn().Err(err).Msg("connections are closed without knowing whether callers have received their answers")
 			})
--- a/internal/api/front/server.go
+++ b/internal/api/front/server.go
@@ -88,8 +88,8 @@
 	// lingerFailed limits its log line to one.
 	lingerFailed sync.Once
 	stopping     atomic.Bool
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
+	mu           sync.Mutex
+	conns        map[*conn]struct{}
 }
 
 // New returns a server that calls h, and registers its metrics in m.
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"comfreycart.dev/comfreycart/internal/tcp"
 )
 
 const (
@@ -19,13 +21,14 @@
 	callerIdlePollInterval = 5 * time.Millisecond
 )
 
-// callerServer serves callers and shuts down without dropping a request.
+// callerServer serves callers and shuts down without dropping a request or the end of an answer.
 // http.Server.Shutdown drops requests that arrive after it was called, including the first
 // request on a connection accepted earlier. It is therefore called only once no request is
 // running or expected.
 type callerServer struct {
 	server    *http.Server
 	listener  net.Listener
+	lingering *tcp.LingerListener
 	serveDone chan struct{}
 
 	mu sync.Mutex
@@ -40,8 +43,10 @@
 	since time.Time
 }
 
-func newCallerServer(s *http.Server, lis net.Listener) *callerServer {
-	c := &callerServer{server: s, listener: lis, serveDone: make(chan struct{}), busy: map[net.Conn]busyConn{}}
+// newCallerServer returns a server that accepts connections from lis. The connections of lis are those
+// of lingering, possibly wrapped.
+func newCallerServer(s *http.Server, lis net.Listener, lingering *tcp.LingerListener) *callerServer {
+	c := &callerServer{server: s, listener: lis, lingering: lingering, serveDone: make(chan struct{}), busy: map[net.Conn]busyConn{}}
 	s.ConnState = c.trackConn
 	return c
 }
@@ -68,8 +73,8 @@
 }
 
 // shutdown stops accepting connections, waits until no request is running or expected, and
-// then closes the remaining connections. If ctx ends first, it stops waiting and calls
-// Shutdown at once.
+// then closes the remaining connections and waits until the callers have received their answers. If
+// ctx ends first, it stops waiting and calls Shutdown at once.
 func (c *callerServer) shutdown(ctx context.Context) {
 	_ = c.listener.Close()
 	select {
@@ -80,6 +85,7 @@
 		time.Sleep(callerIdlePollInterval)
 	}
 	_ = c.server.Shutdown(ctx)
+	c.lingering.WaitReceived(ctx)
 }
 
 // isIdle reports whether no connection has a running request or is within
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,14 +131,17 @@
 		if err != nil {
 			return trace.Wrap(err, "listening at /listen/%s", x.name)
 		}
-		lis = netutil.LimitListener(lis, maxConnections)
+		lingering := tcp.NewLingerListener(lis, func(err error) {
+			n.Log.Warn().Err(err).Str("listener", x.name).Msg("connections are closed without knowing whether answers were received")
+		})
+		lis = netutil.LimitListener(lingering, maxConnections)
 		if lis, err = n.wrapTLS(x.name, lis, x.files); err != nil {
 			return err
 		}
 		server := api.NewServer(x.handler)
 		n.servers = append(n.servers, server)
 		if x.name == "caller" {
-			n.callers = newCallerServer(server, lis)
+			n.callers = newCallerServer(server, lis, lingering)
 			n.wg.Go(func() { n.callers.serve(n.Log) })
 			continue
 		}
--- a/internal/tcp/linger.go
+++ b/internal/tcp/linger.go
@@ -14,6 +14,8 @@
 	// lingerTimeout is how long input is still read after the peer has received everything. Its
 	// kernel may discard what its process has not read yet when a reset arrives.
 	lingerTimeout = 500 * time.Millisecond
+	// stallTimeout is how long a peer may receive nothing of what was written.
+	stallTimeout = 10 * time.Second
 	// lingerPollInterval is how often Linger checks what the peer has received.
 	lingerPollInterval = 50 * time.Millisecond
 	lingerBufferBytes  = 4 << 10
@@ -34,7 +36,7 @@
 // Call it before closing a connection to a peer that may still send: data that arrives at a closed
 // connection resets it, which destroys what the peer has not received. It returns an error if it
 // cannot tell what the peer has received; everything then counts as received.
-func Linger(conn net.Conn, stallTimeout time.Duration) (err error) {
+func Linger(conn net.Conn) (err error) {
 	CloseWrite(conn)
 	buffer := make([]byte, lingerBufferBytes)
 	left, changedAt := -1, time.Time{}
