A stopping node serves the sub-calls of the calls that it waits for

What callers saw: 500 of a backend server whose node was stopping, to requests that ran there when the stop began.

Cause: in a mesh callers and the VM's backend server share a listener, which the stop closed after the notice although a running call may still make sub-calls. In the second half of the stop time it would have refused them besides.

Evidence: node.TestMeshPlannedStopServesSubCallsOfRunningCalls failed before (500 where 200 is expected; the sub-call could not connect).

Fix: while calls run on the VM, new connections are accepted, and sub-calls of a running call are never refused as late. Connections accepted before the end of the notice are drained as before.

--- a/internal/api/front/conn.go
+++ b/internal/api/front/conn.go
@@ -17,12 +17,13 @@
 // conn is one client connection. One goroutine reads requests; each request is served
 // and its reply written by a goroutine of its own.
 type conn struct {
-	server   *Server
-	netConn  net.Conn
-	reader   *limitedReader
-	buffered *bufio.Reader
-	ctx      context.Context
-	cancel   context.CancelFunc
+	server     *Server
+	netConn    net.Conn
+	acceptedAt time.Time
+	reader     *limitedReader
+	buffered   *bufio.Reader
+	ctx        context.Context
+	cancel     context.CancelFunc
 
 	mu sync.Mutex
 	// pending counts the requests that were read and whose reply is not written yet.
@@ -43,9 +44,10 @@
 
 func newConn(s *Server, netConn net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
+	now := time.Now()
 	c := &conn{
-		server: s, netConn: netConn, reader: &limitedReader{netConn: netConn}, ctx: ctx, cancel: cancel,
-		idleSince: time.Now(), pipelineSlots: make(chan struct{}, maxPipelined),
+		server: s, netConn: netConn, acceptedAt: now, reader: &limitedReader{netConn: netConn}, ctx: ctx, cancel: cancel,
+		idleSince: now, pipelineSlots: make(chan struct{}, maxPipelined),
 	}
 	c.buffered = bufio.NewReader(c.reader)
 	return c
--- a/internal/api/front/server.go
+++ b/internal/api/front/server.go
@@ -142,13 +142,16 @@
 // closes once those that were read are answered. It does not wait, and returns on how many connections a
 // request is being read or served or its reply has not been received. Call it again until there are none,
 // since a connection may become idle without a reply that closes it.
-func (s *Server) Drain() int {
+func (s *Server) Drain() int { return s.DrainAcceptedBefore(time.Now()) }
+
+// DrainAcceptedBefore is like Drain, but leaves the connections alone that were accepted at t or later.
+func (s *Server) DrainAcceptedBefore(t time.Time) int {
 	s.mu.Lock()
 	all := slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
 	busy := 0
 	for _, c := range all {
-		if !c.drain() {
+		if c.acceptedAt.Before(t) && !c.drain() {
 			busy++
 		}
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -104,7 +104,8 @@
 	service    string
 }
 
-// Drain makes the handler refuse all further requests, which then do not run.
+// Drain makes the handler refuse all further requests, which then do not run, except sub-calls of calls
+// that are running on this VM: their parents would fail without them.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
 // Serve implements front.Handler. A panic ends only the request, whose outcome is then unknown.
@@ -160,7 +161,8 @@
 	if state.metadata, f = h.dialect.ExtractMetadata(r.Host, r.Header); f != nil {
 		return call.Result{Failure: f}
 	}
-	if h.draining.Load() {
+	parent := h.parentOf(&state.metadata)
+	if h.draining.Load() && parent == nil {
 		return call.Result{Failure: call.NewStopRefusal()}
 	}
 	if f := h.admit(ctx, state, r); f != nil {
@@ -178,19 +180,26 @@
 	if !state.isSubCall() {
 		return h.dispatcher.Do(ctx, c)
 	}
-	return h.runSubCall(ctx, state, c)
+	return h.runSubCall(ctx, c, parent)
+}
+
+// parentOf returns the running call that a request without a key is a sub-call of, or nil.
+func (h *Handler) parentOf(m *RequestMetadata) *table.RunningCall {
+	if m.HasKey {
+		return nil
+	}
+	return h.calls.FindByRequestID(m.Parent)
 }
 
 // isSubCall reports whether a request is treated as a sub-call of a running call: it has no key,
 // and its route needs none.
 func (s *requestState) isSubCall() bool { return s.route.Open && !s.metadata.HasKey }
 
-// runSubCall dispatches a sub-call. If its parent is known, the sub-call takes its priority,
+// runSubCall dispatches a sub-call. If its parent is known (not nil), the sub-call takes its priority,
 // depth and time spent, by which calls are queued, from the parent and is cancelled when the
 // parent ends. If not, a failure is recorded for the whole VM, since any call that runs on it
 // may be the parent.
-func (h *Handler) runSubCall(ctx context.Context, state *requestState, c *call.Call) call.Result {
-	parent := h.calls.FindByRequestID(state.metadata.Parent)
+func (h *Handler) runSubCall(ctx context.Context, c *call.Call, parent *table.RunningCall) call.Result {
 	if parent == nil {
 		c.Depth = 1
 		result := h.dispatcher.Do(ctx, c)
--- a/internal/node/mesh.go
+++ b/internal/node/mesh.go
@@ -168,9 +168,9 @@
 )
 
 // stop performs the planned stop within the configured time. Callers are served until the
-// platform has sent them to other nodes. From then on, no request is read that is not being read
-// yet, so that those that were read can be answered; what is read too late for that is refused. Other
-// nodes are notified at once to send their calls elsewhere.
+// platform has sent them to other nodes. From then on, nothing further is read on their connections,
+// so that what was read can be answered; what is read too late for that is refused. Other nodes are
+// notified at once to send their calls elsewhere.
 func (m *Mesh) stop() {
 	stopTimeout := m.Config.Mesh.StopTimeout()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout-stopMargin)
@@ -183,11 +183,7 @@
 	m.Server.Drain()
 	m.Membership.Leave(ctx)
 	<-notice
-	_ = m.callers.Close()
-	for m.Front.Drain() > 0 && ctx.Err() == nil {
-		sleepContext(ctx, meshIdlePollInterval)
-	}
-	m.Server.WaitIdle(ctx)
+	m.finishCallers(ctx)
 	m.PeerServer.CloseConnections(ctx)
 	m.Shares.ReturnTokens(ctx)
 	for _, s := range m.servers {
@@ -195,3 +191,18 @@
 	}
 	_ = m.PeerClient.Close()
 }
+
+// finishCallers ends the callers' connections and waits until what was read is answered and no call runs
+// on this VM. As long as one does, new connections are accepted, since its backend server may make
+// sub-calls.
+func (m *Mesh) finishCallers(ctx context.Context) {
+	noticeEnd := time.Now()
+	for !m.Server.IsIdle() && ctx.Err() == nil {
+		m.Front.DrainAcceptedBefore(noticeEnd)
+		sleepContext(ctx, meshIdlePollInterval)
+	}
+	_ = m.callers.Close()
+	for m.Front.Drain() > 0 && ctx.Err() == nil {
+		sleepContext(ctx, meshIdlePollInterval)
+	}
+}
--- a/internal/node/mesh_stop_test.go
+++ b/internal/node/mesh_stop_test.go
@@ -111,3 +111,32 @@
 	require.NoError(t, err)
 	require.Zero(t, f.countRuns(lateAttempt))
 }
+
+// A request that runs at the stopping VM's backend server makes its sub-call after the callers' listener was
+// closed. The backend server could not connect, and the request failed.
+func TestMeshPlannedStopServesSubCallsOfRunningCalls(t *testing.T) {
+	f := startMesh(t, "front", "deep")
+	f.routeTimeoutMs = 5000
+	f.publishSettings(2, "k1")
+	f.waitUntilReady()
+	a, b := f.nodes[0], f.nodes[1]
+	stopTimeout := a.config.Mesh.StopTimeout()
+	for _, at := range []time.Duration{stopTimeout/2 - 200*time.Millisecond, stopTimeout/2 + 300*time.Millisecond, stopTimeout * 3 / 4} {
+		t.Run(at.String(), func(t *testing.T) {
+			f.waitUntilServed(b, "/safe/1", "k1")
+			a.instance.SetFaults(instance.Faults{Delay: at})
+			a.instance.SetSubCall(&instance.SubCall{Outbound: a.callerAddress, Host: "h", Path: "/open/x"})
+			caller := dialNode(t, b)
+			attempt := caller.send(http.MethodPost, "/unsafe/1", 0)
+			require.Eventually(t, func() bool { return f.countRuns(attempt) == 1 }, 5*time.Second, time.Millisecond)
+			a.stop()
+			resp, body := caller.receive()
+			require.Equal(t, http.StatusOK, resp.StatusCode, body)
+			require.Equal(t, 1, f.countRuns(attempt+".1"), "sub-call")
+			require.NoError(t, <-a.done)
+			a.instance.SetFaults(instance.Faults{})
+			a.instance.SetSubCall(nil)
+			a.start(t)
+		})
+	}
+}
--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -31,6 +31,8 @@
 	store   *standin.Server
 	url     string
 	nodes   []*meshNode
+	// routeTimeoutMs is the timeout of all routes in the settings.
+	routeTimeoutMs int
 }
 
 type meshNode struct {
@@ -58,7 +60,7 @@
 	network, err := loopback.Claim()
 	require.NoError(t, err)
 	t.Cleanup(network.Release)
-	f := &meshFleet{t: t, network: network, store: standin.New()}
+	f := &meshFleet{t: t, network: network, store: standin.New(), routeTimeoutMs: 2000}
 	server := httptest.NewServer(f.store.Handler())
 	t.Cleanup(server.Close)
 	f.url = server.URL
@@ -132,13 +134,13 @@
 func (f *meshFleet) publishSettings(version int, keys ...string) {
 	list, err := json.Marshal(keys)
 	require.NoError(f.t, err)
-	f.store.Put(standin.RowName{Table: "op", Key: "config"}, fmt.Appendf(nil, `{"version":%d,
+	f.store.Put(standin.RowName{Table: "op", Key: "config"}, fmt.Appendf(nil, `{"version":%[1]d,
 	"routes":{"columns":["name","host","prefix","kind","timeoutMs","targetLatencyMs","priority","maxAttempts","public","service"],"rows":[
-	["safe","h","/safe/","safe",2000,1000,1,2,false,"front"],
-	["unsafe","h","/unsafe/","unsafe",2000,1000,0,2,false,"front"],
-	["open","h","/open/","safe",2000,1000,2,2,true,"deep"]]},
+	["safe","h","/safe/","safe",%[3]d,1000,1,2,false,"front"],
+	["unsafe","h","/unsafe/","unsafe",%[3]d,1000,0,2,false,"front"],
+	["open","h","/open/","safe",%[3]d,1000,2,2,true,"deep"]]},
 	"services":{"columns":["name","healthPath"],"rows":[["front","/health"],["deep","/health"]]},
-	"tenants":{"columns":["name","apiKeys","ratePerS","burst"],"rows":[["t",%s,10000,1000]]}}`, version, list))
+	"tenants":{"columns":["name","apiKeys","ratePerS","burst"],"rows":[["t",%[2]s,10000,1000]]}}`, version, list, f.routeTimeoutMs))
 }
 
 // waitUntilReady waits until every node reports readiness.
--- a/internal/system/serve/serve.go
+++ b/internal/system/serve/serve.go
@@ -328,10 +328,13 @@
 	s.metric.Gauge("comfreycart_queued_calls", gauge(func(f *call.Feedback) uint32 { return f.Queued }), "service", service)
 }
 
+// IsIdle reports whether no call is running or queued.
+func (s *Server) IsIdle() bool { return s.pending.Load() == 0 }
+
 // WaitIdle waits until no call is running or queued, or ctx is done.
 func (s *Server) WaitIdle(ctx context.Context) {
 	const pollInterval = 10 * time.Millisecond
-	for s.pending.Load() > 0 {
+	for !s.IsIdle() {
 		select {
 		case <-ctx.Done():
 			return
