A node outlives the reader of its log

What callers would see: connections that end without an answer, once the process that reads the node's output has ended. Found by asking which other signals are left to their default after the fault of SIGHUP.

Cause: a write to a pipe without a reader raises SIGPIPE, which ends a Go process if the pipe is its standard output.

Fix: SIGPIPE is ignored. The log's buffer no longer keeps the error of a failed write, counts the lines lost, and goes on with later ones.

--- a/cmd/comfreycartd/main.go
+++ b/cmd/comfreycartd/main.go
@@ -42,6 +42,8 @@
 	// during a planned stop.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	// By default, a write to the standard output ends the process if its reader is gone.
+	signal.Ignore(syscall.SIGPIPE)
 	cfg, err := config.Load(c.Config)
 	if err != nil {
 		return err
--- a/internal/logging/buffer_test.go
+++ b/internal/logging/buffer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 
 func TestLineBufferCoalescesLines(t *testing.T) {
 	w := &writeRecorder{}
-	b := newLineBuffer(w)
+	b := newLineBuffer(w, func(int) { t.Error("lines were lost") })
 	for range 3 {
 		_, err := b.Write([]byte("line\n"))
 		require.NoError(t, err)
@@ -47,3 +48,34 @@
 	require.NoError(t, b.Close())
 	require.Len(t, w.recorded(), 3)
 }
+
+// errorWriter fails while failing is set.
+type errorWriter struct {
+	writeRecorder
+	failing bool
+}
+
+func (w *errorWriter) Write(p []byte) (int, error) {
+	if w.failing {
+		return 0, syscall.EPIPE
+	}
+	return w.writeRecorder.Write(p)
+}
+
+// One failed write must not end the log: the error stayed, and all later lines were lost uncounted.
+func TestLineBufferGoesOnAfterAFailedWrite(t *testing.T) {
+	w, lost := &errorWriter{failing: true}, 0
+	b := newLineBuffer(w, func(lines int) { lost += lines })
+	for range 2 {
+		_, err := b.Write([]byte("lost\n"))
+		require.NoError(t, err)
+	}
+	require.ErrorIs(t, b.Close(), syscall.EPIPE)
+	require.Equal(t, 2, lost)
+	w.failing = false
+	_, err := b.Write([]byte("line\n"))
+	require.NoError(t, err)
+	require.NoError(t, b.Close())
+	require.Equal(t, []string{"line\n"}, w.recorded())
+	require.Equal(t, 2, lost)
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -34,7 +34,7 @@
 	reportInterval = 10 * time.Second
 )
 
-// Writer is the output of a log. It drops lines if its reader is slow.
+// Writer is the output of a log. It drops lines if its reader is slow or gone.
 type Writer struct {
 	io.WriteCloser
 	dropped atomic.Int64
@@ -43,11 +43,12 @@
 // NewWriter returns a writer to out that drops lines rather than block.
 func NewWriter(out io.Writer) *Writer {
 	w := &Writer{}
-	w.WriteCloser = diode.NewWriter(newLineBuffer(out), maxQueuedLines, pollInterval, func(missed int) { w.dropped.Add(int64(missed)) })
+	countDropped := func(lines int) { w.dropped.Add(int64(lines)) }
+	w.WriteCloser = diode.NewWriter(newLineBuffer(out, countDropped), maxQueuedLines, pollInterval, countDropped)
 	return w
 }
 
-// DroppedLines returns the number of lines dropped so far because the reader was slow.
+// DroppedLines returns the number of lines dropped so far because the reader was slow or gone.
 func (w *Writer) DroppedLines() int64 { return w.dropped.Load() }
 
 // ReportDropped logs the number of newly dropped lines whenever there are any, until ctx ends.
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -155,6 +155,11 @@
 func (n *node) start() {
 	log, err := os.OpenFile(n.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(n.f.t, err)
+	n.startWithLog(log)
+}
+
+// startWithLog starts the process with its output going to log, which is closed once it has exited.
+func (n *node) startWithLog(log *os.File) {
 	cmd := exec.Command(daemonPath, "--config", n.configFile)
 	cmd.Stdout, cmd.Stderr = log, log
 	require.NoError(n.f.t, cmd.Start())
--- a/test/soak/signals_test.go
+++ b/test/soak/signals_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -55,3 +56,31 @@
 		})
 	}
 }
+
+// A write to a pipe that nobody reads any more ended the process: without the reader of its log, a node
+// ended with the next line.
+func TestNodeOutlivesTheReaderOfItsLog(t *testing.T) {
+	f := newFleet(t, 6)
+	c := newCallers(f, map[string][]string{"large": {"large-0", "large-1"}, "small": {"small-0", "small-1"}})
+	inj := &faultInjector{f: f, callers: c}
+	inj.putSettings()
+	f.awaitServed(c, readyTimeout)
+	n := f.nodes[0]
+	<-n.signal(syscall.SIGTERM)
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	n.startWithLog(writer)
+	f.awaitServed(c, readyTimeout)
+	require.NoError(t, reader.Close())
+	for range 10 {
+		f.awaitServed(c, readyTimeout)
+		time.Sleep(100 * time.Millisecond)
+	}
+	select {
+	case <-n.signal(syscall.SIGTERM):
+		t.Fatal("the process ended by itself")
+	case <-time.After(100 * time.Millisecond):
+	}
+	<-n.exited
+	require.True(t, n.cmd.ProcessState.Success(), "%v", n.cmd.ProcessState)
+}
