A stopping node reads no request behind a pending one

What callers saw: the beginning of an answer, and the end of its connection at the end of the stop time, if they read slowly and had sent the request after SIGTERM behind others.

Cause: during its notice the stop went on reading a connection whose answers were not taken yet. Answers keep their order, and what the connection owed grew beyond what the caller could read in the rest of the time.

Fix: from SIGTERM on a connection owes no more than it did.

--- a/internal/api/front/conn.go
+++ b/internal/api/front/conn.go
@@ -108,10 +108,12 @@
 }
 
 // beginRead marks that a request is being read. It returns false if the connection drains or is
-// being closed.
+// being closed. While the server stops, a connection with a pending request drains: a caller that reads
+// slowly might not receive the replies to further ones in time.
 func (c *conn) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.isDraining = c.isDraining || c.server.stopping.Load() && c.pending > 0
 	if c.isDraining || c.isClosing {
 		return false
 	}
--- a/internal/api/front/server.go
+++ b/internal/api/front/server.go
@@ -134,8 +134,8 @@
 // descriptors.
 const acceptRetryDelay = 10 * time.Millisecond
 
-// Stop makes each connection close after the reply to its last pending request. Connections that are
-// idle or always have a request pending stay open; Drain ends them.
+// Stop makes each connection close after the reply to its last pending request, or to its next one if none
+// is pending. No further request is read on it. Drain ends the connections that stay idle.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
 // Drain ends the connections: no request is read that is not being read yet, and each connection
--- a/internal/api/front/stop_test.go
+++ b/internal/api/front/stop_test.go
@@ -206,6 +206,23 @@
 	}
 }
 
+// A caller that reads slowly sends a further request while its answers wait to be read. The stop read and served
+// it, and its time was over before the caller had all of the answers.
+func TestStopReadsNoRequestBehindAPendingOne(t *testing.T) {
+	s, handler, address := startServer(t, testLimits())
+	c := dial(t, address)
+	c.send(getRequest("/a?300"))
+	require.Eventually(t, func() bool { return handler.served.Load() == 1 }, 5*time.Second, time.Millisecond)
+	s.Stop()
+	c.send(getRequest("/b"))
+	resp, body := c.readResponse()
+	require.Equal(t, "/a?300 ", body)
+	require.True(t, resp.Close)
+	_, err := c.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, int64(1), handler.served.Load())
+}
+
 // A request whose body is being read when the server drains is the last one of its connection.
 func TestDrainAnswersARequestThatIsBeingRead(t *testing.T) {
 	s, handler, address := startServer(t, testLimits())
