--- a/test/standin/instance/instance.go
+++ b/test/standin/instance/instance.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,8 @@
 	ShedEvery uint64
 	// EditAnswer changes the text of each answer to a request that ran, if it isn't nil.
 	EditAnswer func(answer string) string
+	// AnswerBytes is how many bytes the body of an answer has at least.
+	AnswerBytes int
 	// RepeatAfter sends each answer once more on its connection after this time, if it isn't 0.
 	RepeatAfter time.Duration
 }
@@ -89,6 +92,14 @@
 // HealthPath is the path of the health check.
 const HealthPath = "/health"
 
+// A request's query may ask for work of its own: how long it runs, as a Go duration, how many bytes its
+// answer has at least, and that a sub-call is made if one is set.
+const (
+	QueryWork    = "work"
+	QueryBytes   = "bytes"
+	QuerySubCall = "call"
+)
+
 // slots is the number of slots that the instance announces.
 const slots = 8
 
@@ -96,6 +107,8 @@
 type SubCall struct {
 	// Outbound is the IP:port of the node's listener for outgoing calls.
 	Outbound, Host, Path string
+	// OnRequest makes the call only for requests whose query asks for it.
+	OnRequest bool
 }
 
 // Start starts an instance that serves requests at address and sends its announcements to
@@ -305,6 +318,13 @@
 		answer = responseHead(http.StatusServiceUnavailable, attempt, "Not-Executed: 1\r\n", 0)
 	default:
 		i.recordRun(r, body, false)
+		query := r.URL.Query()
+		if work, err := time.ParseDuration(query.Get(QueryWork)); err == nil {
+			f.Delay = work
+		}
+		if n, err := strconv.Atoi(query.Get(QueryBytes)); err == nil {
+			f.AnswerBytes = n
+		}
 		if !i.execute(ctx, r, f.Delay) {
 			answer = responseHead(http.StatusInternalServerError, attempt, "", 0)
 			break
@@ -364,7 +384,7 @@
 	i.mu.Lock()
 	call := i.subCall
 	i.mu.Unlock()
-	if call == nil {
+	if call == nil || call.OnRequest && r.URL.Query().Get(QuerySubCall) == "" {
 		return true
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+call.Outbound+call.Path, nil)
@@ -390,6 +410,9 @@
 		status = http.StatusOK
 	}
 	body := "answer to " + attempt + " of " + i.ID
+	if missing := f.AnswerBytes - len(body); missing > 0 {
+		body += strings.Repeat(".", missing)
+	}
 	lines := "Response-Seal: seal\r\n"
 	if rate := i.rateLimit.Load(); rate > 0 {
 		lines += fmt.Sprintf("Server-Limit: %d\r\n", rate)
