soak: a request sent behind another one counts as not read

The users' rules: 'Not counted either: a request that was sent behind another on its connection and wasn't passed on to an endpoint.' Such a request that ran counts as before.

--- a/test/soak/stops_test.go
+++ b/test/soak/stops_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -47,7 +48,8 @@
 	status          int
 	// answered is the number of bytes of the answer's body that came.
 	answered int
-	// isBehind is set if the request stood behind another one when its connection ended.
+	// isBehind is set if the request was sent before the one before it was answered. If the connection
+	// ends then, it counts as not read.
 	isBehind bool
 	err      error
 
@@ -112,7 +114,9 @@
 	readPause time.Duration
 
 	sent int
-	all  []*pipelinedRequest
+	// unanswered counts the requests that were sent on the connection and are not answered.
+	unanswered atomic.Int64
+	all        []*pipelinedRequest
 }
 
 const (
@@ -188,6 +192,7 @@
 // useConnection sends requests on a connection until it ends.
 func (c *pipelinedCaller) useConnection(conn net.Conn, end time.Time) {
 	_ = conn.SetDeadline(end.Add(2 * pipelineDeadline))
+	c.unanswered.Store(0)
 	outstanding := make(chan *pipelinedRequest, c.depth)
 	ended := make(chan struct{})
 	var wg sync.WaitGroup
@@ -199,11 +204,12 @@
 	isEnded := false
 	for r := range outstanding {
 		if isEnded {
-			r.endedAt, r.isBehind = time.Now(), true
+			r.endedAt = time.Now()
 			continue
 		}
 		isEnded = c.readAnswer(in, r)
 		r.endedAt = time.Now()
+		c.unanswered.Add(-1)
 		if isEnded {
 			close(ended)
 		}
@@ -215,7 +221,7 @@
 func (c *pipelinedCaller) sendUntil(conn net.Conn, outstanding chan<- *pipelinedRequest, ended <-chan struct{}, end time.Time) {
 	for time.Now().Before(end) {
 		r := c.nextRequest()
-		r.sentAt = time.Now()
+		r.sentAt, r.isBehind = time.Now(), c.unanswered.Add(1) > 1
 		select {
 		case <-ended:
 			return
@@ -463,7 +469,8 @@
 	{20, "the end of an answer was lost with the connection"},
 	{21, "the same, and SIGHUP ended the process"},
 	{25, "SIGHUP ended the process"},
-	{43, "the same"},
+	{43, "answers waited behind those that a slow caller was reading"},
+	{8122, "the check took a request that was sent behind another one, and not read, for a read one"},
 }
 
 // TestStops runs the regression seeds of planned stops.
