A connection that drains during the write of its last reply closes after it

What callers saw: no answer and no end of the connection for up to the rest of the notice, if they sent a further request while a reply was being written that had not announced the end, and the stop came in between.

Cause: whether a connection closes was decided before a reply was written only; what began to drain during the write waited for the end of the notice.

Evidence: front.TestStopDuringTheWriteOfAReplyThatKeepsTheConnection failed before (no end within a second).

Fix: it is decided again once the reply is written.

--- a/internal/api/front/conn.go
+++ b/internal/api/front/conn.go
@@ -161,10 +161,7 @@
 	<-previousWritten
 	last = c.decideClose(last)
 	err := c.writeReply(reply, last)
-	c.mu.Lock()
-	c.pending--
-	c.idleSince = time.Now()
-	c.mu.Unlock()
+	last = c.endReply(last)
 	if err != nil {
 		c.cancel()
 		_ = c.netConn.Close()
@@ -175,6 +172,19 @@
 	}
 }
 
+// endReply records that a reply was written and reports whether the connection closes now: last says
+// that the reply has announced it. A connection may also have begun to drain during the write.
+func (c *conn) endReply(last bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
+	c.idleSince = time.Now()
+	if c.isDraining && c.pending == 0 && !c.isReading {
+		c.isClosing = true
+	}
+	return last || c.isClosing
+}
+
 // decideClose decides whether the connection closes after the next reply; requested is
 // whether the caller or an error asked for it. While the server stops, the connection
 // closes unless another request was read or is being read: that request may already be
--- a/internal/api/front/stop_test.go
+++ b/internal/api/front/stop_test.go
@@ -78,6 +78,30 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// Schedule: the stop comes during the write of a reply that does not announce the end of the connection,
+// and the caller sends a further request. That one is not read, and the connection must not stay open:
+// the caller would wait for an answer that never comes.
+func TestStopDuringTheWriteOfAReplyThatKeepsTheConnection(t *testing.T) {
+	s, handler, _ := startServer(t, testLimits())
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	release := make(chan struct{})
+	go func() { _ = s.Serve(heldWrites{lis, release}) }()
+	c := dial(t, lis.Addr().String())
+	c.send(getRequest("/a"))
+	resp, _ := c.readResponse()
+	require.False(t, resp.Close)
+	s.Stop()
+	c.send(getRequest("/b"))
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err = c.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, int64(1), handler.served.Load())
+}
+
 // delayedWrites is a listener whose connections write only once release is closed.
 type delayedWrites struct {
 	net.Listener
