--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,7 +132,7 @@
 			return trace.Wrap(err, "listening at /listen/%s", x.name)
 		}
 		lingering := tcp.NewLingerListener(lis, func(err error) {
-			n.Log.Warn().Err(err).Str("listener", x.name).Msg("connections are closed without knowing whether answers were received")
+			n.Log.Warn().Err(err).Str("listener", x.name).Msg("connections are closed without knowing whether callers have received their answers")
 		})
 		lis = netutil.LimitListener(lingering, maxConnections)
 		if lis, err = n.wrapTLS(x.name, lis, x.files); err != nil {
