--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -185,6 +185,10 @@
 	{"late announcement", false, true, func(inj *faultInjector, n, _ *node, d time.Duration) {
 		i := n.currentInstance()
 		late := i.Announcement("ready")
+		if i.IsDraining() {
+			// A backend server that drains or has left announces nothing new.
+			return
+		}
 		time.Sleep(2 * d)
 		_, _ = i.SendAnnouncement(late)
 	}},
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -70,6 +70,7 @@
 	{7407, "the check of rates counted a second run of an idempotent request as another request", fourthKinds},
 	{7413, "the same", fourthKinds},
 	{9, "none", len(faultKinds)},
+	{9011, "a backend server that had left was made to announce itself anew", len(faultKinds)},
 }
 
 // TestSoak runs the regression seeds.
--- a/test/standin/instance/instance.go
+++ b/test/standin/instance/instance.go
@@ -170,6 +170,9 @@
 // SetLeaving makes the answers say that the instance is leaving.
 func (i *Instance) SetLeaving() { i.leaving.Store(true) }
 
+// IsDraining reports whether the instance has announced that it is draining, or has deregistered.
+func (i *Instance) IsDraining() bool { return i.draining.Load() }
+
 // SetSubCall sets the call to make for each request; nil means none.
 func (i *Instance) SetSubCall(s *SubCall) {
 	i.mu.Lock()
