--- a/internal/api/front/front_test.go
+++ b/internal/api/front/front_test.go
@@ -70,6 +70,10 @@
 func dial(t *testing.T, address string) *client {
 	c, err := net.Dial("tcp", address)
 	require.NoError(t, err)
+	return newClient(t, c)
+}
+
+func newClient(t *testing.T, c net.Conn) *client {
 	t.Cleanup(func() { _ = c.Close() })
 	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
 	return &client{t, c, bufio.NewReader(c)}
--- a/internal/api/front/stop_test.go
+++ b/internal/api/front/stop_test.go
@@ -1,18 +1,17 @@
 package front
 
 import (
-	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"comfreycart.dev/comfreycart/test/loopback"
 )
 
 // pendingRequests returns how many requests were read whose reply is not written yet, on all
@@ -29,6 +28,15 @@
 	return n
 }
 
+// serveOn makes the server accept from another listener too, wrapped by wrap, and returns its address.
+func serveOn(t *testing.T, s *Server, wrap func(net.Listener) net.Listener) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() { _ = s.Serve(wrap(lis)) }()
+	return lis.Addr().String()
+}
+
 // heldWrites is a listener whose connections deliver what is written, but return from Write
 // only once release is closed.
 type heldWrites struct {
@@ -56,12 +64,8 @@
 // call that wrote it. The connection counts as busy, is not cut, and is closed in a later round.
 func TestStopBetweenTheWriteOfAReplyAndItsReturn(t *testing.T) {
 	s, _, _ := startServer(t, testLimits())
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = lis.Close() })
 	release := make(chan struct{})
-	go func() { _ = s.Serve(heldWrites{lis, release}) }()
-	c := dial(t, lis.Addr().String())
+	c := dial(t, serveOn(t, s, func(lis net.Listener) net.Listener { return heldWrites{lis, release} }))
 	c.send(getRequest("/a"))
 	resp, body := c.readResponse()
 	require.Equal(t, "/a ", body)
@@ -69,7 +73,7 @@
 	s.Stop()
 	require.Equal(t, 1, s.Drain(), "the connection is busy")
 	require.NoError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
-	_, err = c.reader.ReadByte()
+	_, err := c.reader.ReadByte()
 	require.ErrorContains(t, err, "timeout", "the connection is open")
 	close(release)
 	require.Eventually(t, func() bool { return s.Drain() == 0 }, 5*time.Second, time.Millisecond)
@@ -83,12 +87,8 @@
 // the caller would wait for an answer that never comes.
 func TestStopDuringTheWriteOfAReplyThatKeepsTheConnection(t *testing.T) {
 	s, handler, _ := startServer(t, testLimits())
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = lis.Close() })
 	release := make(chan struct{})
-	go func() { _ = s.Serve(heldWrites{lis, release}) }()
-	c := dial(t, lis.Addr().String())
+	c := dial(t, serveOn(t, s, func(lis net.Listener) net.Listener { return heldWrites{lis, release} }))
 	c.send(getRequest("/a"))
 	resp, _ := c.readResponse()
 	require.False(t, resp.Close)
@@ -97,7 +97,7 @@
 	time.Sleep(50 * time.Millisecond)
 	close(release)
 	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
-	_, err = c.reader.ReadByte()
+	_, err := c.reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 	require.Equal(t, int64(1), handler.served.Load())
 }
@@ -130,12 +130,8 @@
 // connection counts as busy and is closed only after that reply.
 func TestDrainDuringTheWriteOfTheLastReply(t *testing.T) {
 	s, handler, _ := startServer(t, testLimits())
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = lis.Close() })
 	release := make(chan struct{})
-	go func() { _ = s.Serve(delayedWrites{lis, release}) }()
-	c := dial(t, lis.Addr().String())
+	c := dial(t, serveOn(t, s, func(lis net.Listener) net.Listener { return delayedWrites{lis, release} }))
 	s.Stop()
 	c.send(getRequest("/a"))
 	require.Eventually(t, func() bool { return handler.served.Load() == 1 }, 5*time.Second, time.Millisecond)
@@ -185,22 +181,6 @@
 	require.Equal(t, int64(answered), handler.served.Load(), "a request that was served is not answered")
 }
 
-// dialSmallBuffer returns a connection on which little is received that has not been read.
-func dialSmallBuffer(t *testing.T, address string) *client {
-	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10)
-		})
-		return errors.Join(err, controlErr)
-	}}
-	c, err := d.Dial("tcp", address)
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = c.Close() })
-	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
-	return &client{t, c, bufio.NewReader(c)}
-}
-
 // A caller reads the last answer of its connection late while it goes on sending. The data that arrived at the
 // closed connection reset it and destroyed the end of the answer.
 func TestLastReplyIsDeliveredToACallerThatSendsOn(t *testing.T) {
@@ -209,7 +189,9 @@
 			limits := testLimits()
 			limits.MaxBodyBytes = 1 << 20
 			s, _, address := startServer(t, limits)
-			c := dialSmallBuffer(t, address)
+			conn, err := loopback.SlowReaderDialer(16<<10, time.Second).Dial("tcp", address)
+			require.NoError(t, err)
+			c := newClient(t, conn)
 			body := strings.Repeat("x", 200<<10)
 			c.send(fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n%s", last, len(body), body))
 			time.Sleep(100 * time.Millisecond)
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -3,13 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +16,7 @@
 
 	"comfreycart.dev/comfreycart/internal/api"
 	"comfreycart.dev/comfreycart/internal/tcp"
+	"comfreycart.dev/comfreycart/test/loopback"
 )
 
 // startCallerServer serves a handler that answers 200 with a body, wrapped as on n's caller listener.
@@ -96,14 +95,7 @@
 	n.leaving.Store(true)
 	text := strings.Repeat("x", 200<<10)
 	c, address := startCallerServer(t, n, text)
-	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10)
-		})
-		return errors.Join(err, controlErr)
-	}}
-	conn, err := d.Dial("tcp", address)
+	conn, err := loopback.SlowReaderDialer(16<<10, time.Second).Dial("tcp", address)
 	require.NoError(t, err)
 	defer conn.Close()
 	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
