--- a/test/soak/pipelined_test.go
+++ b/test/soak/pipelined_test.go
@@ -32,8 +32,7 @@
 	moderateAnswer = 200 << 10
 )
 
-// pipelinedRequest is a request on a connection that may have others outstanding. Its fields but the
-// first line are set by its connection.
+// pipelinedRequest is a request on a connection that may have others outstanding, and what became of it.
 type pipelinedRequest struct {
 	id, node, method, target string
 	body                     int
