--- a/review/lab-3/client.go
+++ b/review/lab-3/client.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"net"
 	"net/textproto"
 	"strconv"
@@ -16,7 +17,6 @@
 	clientHost = "hulo84.example"
 	keyA       = "key-of-tenant-a"
 	keyB       = "key-of-tenant-b"
-	keyC       = "key-of-tenant-c"
 )
 
 func newAttempt() string {
@@ -29,8 +29,6 @@
 type client struct {
 	conn net.Conn
 	in   *bufio.Reader
-	// began is set once a byte of the answer that is being read has arrived.
-	began int
 }
 
 func dial(address string) (*client, error) {
@@ -79,8 +77,22 @@
 	return answerHead{line, status, header}, err
 }
 
+// readWhole reads the next answer with its body and returns the status.
+func (c *client) readWhole(within time.Duration) (int, error) {
+	answer, err := c.readHead(within)
+	if err != nil {
+		return 0, err
+	}
+	length, err := strconv.ParseInt(answer.header.Get("Content-Length"), 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.CopyN(io.Discard, c.in, length)
+	return answer.status, err
+}
+
 // basicConfig is a configuration with one safe and one unsafe route to a service.
-func basicConfig(prefix, service string, rateA, burstA float64) map[string]any {
+func basicConfig(prefix, service string) map[string]any {
 	return map[string]any{
 		"version": 7,
 		"routes": map[string]any{
@@ -92,15 +104,14 @@
 		},
 		"services": map[string]any{
 			"columns": []string{"name", "healthPath", "maxConnections", "protocol", "tls"},
-			"rows":    [][]any{{service, "/health", 532, "h1", false}},
+			"rows":    [][]any{{service, "/health", 532, "h1", false}, {"wuno96b", "/health", 532, "h1", false}},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": map[string]any{
 			"columns": []string{"name", "apiKeys", "priority", "ratePerS", "burst"},
 			"rows": [][]any{
-				{"tenant-a", []string{keyA}, 1, rateA, burstA},
+				{"tenant-a", []string{keyA}, 1, nil, nil},
 				{"tenant-b", []string{keyB}, 1, nil, nil},
-				{"tenant-c", []string{keyC}, 1, 100, 100},
 			},
 		},
 	}
--- a/review/lab-3/endpoint.go
+++ b/review/lab-3/endpoint.go
@@ -4,14 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
-	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -25,17 +23,16 @@
 	sequence                      int
 	lis                           net.Listener
 
-	mu    sync.Mutex
-	runs  []ran
-	conns map[net.Conn]struct{}
+	mu      sync.Mutex
+	running int
+	runs    []*ran
+	conns   map[net.Conn]struct{}
 }
 
-// ran is a request that ran. target is as it stood in the request line.
+// ran is a request that ran. It ended when its work was done or its connection closed.
 type ran struct {
-	attempt, method, target, tenant string
-	bodyBytes                       int64
-	bodyHash                        string
-	at                              time.Time
+	attempt   string
+	at, ended time.Time
 }
 
 const endpointSlots = 72
@@ -114,55 +111,71 @@
 		if err != nil {
 			return
 		}
-		hash := sha256.New()
-		n, err := io.Copy(hash, req.Body)
-		if err != nil {
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		// Another request comes only after the answer, so that a byte or an error ends the wait.
+		next := make(chan struct{})
+		go func() {
+			defer close(next)
+			_, _ = in.Peek(1)
+		}()
+		answer, ok := e.answer(req, next)
+		if !ok {
 			return
 		}
-		if _, err := io.WriteString(c, e.answer(req, n, fmt.Sprintf("%x", hash.Sum(nil)))); err != nil {
+		if _, err := io.WriteString(c, answer); err != nil {
 			return
 		}
+		<-next
 	}
 }
 
-// answer runs a request and returns the text of the answer. The query may ask for a body of a number
-// of bytes. An answer to HEAD has no body.
-func (e *endpoint) answer(req *http.Request, bodyBytes int64, bodyHash string) string {
+// answer runs a request and returns the text of the answer, false if the connection closed meanwhile. The
+// query may ask for work of a number of milliseconds.
+func (e *endpoint) answer(req *http.Request, closed <-chan struct{}) (string, bool) {
 	if req.URL.Path == "/health" {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: 0,0,%d\r\nContent-Length: 0\r\n\r\n", e.id, endpointSlots)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: 0,0,%d\r\nContent-Length: 0\r\n\r\n", e.id, endpointSlots), true
 	}
 	attempt := req.Header.Get("Attempt-Id")
 	if attempt == "" {
-		return "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", true
 	}
 	if want := req.Header.Get("Expected-Instance"); want != "" && want != e.id {
-		return "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + attempt + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + attempt + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", true
 	}
 	e.mu.Lock()
-	e.runs = append(e.runs, ran{attempt, req.Method, req.RequestURI, req.Header.Get("Tenant"), bodyBytes, bodyHash, time.Now()})
+	defer e.mu.Unlock()
+	if e.running >= endpointSlots {
+		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nServer-Load: %d,0,%d\r\nContent-Length: 0\r\n\r\n", attempt, e.running, endpointSlots), true
+	}
+	e.running++
+	r := &ran{attempt: attempt, at: time.Now()}
+	e.runs = append(e.runs, r)
 	e.mu.Unlock()
-	size, err := strconv.Atoi(req.URL.Query().Get("bytes"))
+	workMs, err := strconv.Atoi(req.URL.Query().Get("work"))
 	if err != nil {
-		size = len(attempt)
+		workMs = 0
 	}
-	body := wholeBody(attempt, size)
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: seal-%s\r\nServer-Load: 1,0,%d\r\nContent-Length: %d\r\n\r\n", attempt, attempt, endpointSlots, len(body))
-	if req.Method == http.MethodHead {
-		return head
+	ok := true
+	select {
+	case <-closed:
+		ok = false
+	case <-time.After(time.Duration(workMs) * time.Millisecond):
 	}
-	return head + body
-}
-
-// wholeBody returns the body of the answer to an attempt.
-func wholeBody(attempt string, size int) string {
-	return strings.Repeat(attempt, size/len(attempt)+1)[:size]
+	e.mu.Lock()
+	e.running--
+	r.ended = time.Now()
+	body := "answer to " + attempt
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: seal-%s\r\nServer-Load: %d,0,%d\r\nContent-Length: %d\r\n\r\n%s",
+		attempt, attempt, e.running, endpointSlots, len(body), body), ok
 }
 
-// runOf returns the runs of an attempt.
-func (e *endpoint) runsOf(attempt string) []ran {
+// runsOf returns the runs of an attempt.
+func (e *endpoint) runsOf(attempt string) []*ran {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var out []ran
+	var out []*ran
 	for _, r := range e.runs {
 		if r.attempt == attempt {
 			out = append(out, r)
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -25,11 +25,9 @@
 type caseFunc func(w *world, trouble bool) (held bool, err error)
 
 var cases = map[string]caseFunc{
-	"head":    playHead,
-	"interim": playInterim,
-	"path":    playPath,
-	"quota":   playQuota,
-	"slow":    playSlow,
+	"gone":    playGone,
+	"heads":   playHeads,
+	"restore": playRestore,
 }
 
 func main() {
--- a/review/lab-3/store.go
+++ b/review/lab-3/store.go
@@ -22,6 +22,8 @@
 	Value   []byte `json:"value,omitempty"`
 	Ver     uint64 `json:"ver"`
 	Removed bool   `json:"removed,omitempty"`
+
+	writtenAt time.Time
 }
 
 // store stands in for the platform's metadata store: rows, transactions and the feed of changes.
@@ -32,6 +34,9 @@
 	ver     uint64
 	rows    map[rowName]row
 	history []row
+	// era counts the restores from a copy.
+	era  uint64
+	down bool
 }
 
 func newStore() *store { return &store{started: time.Now(), rows: map[rowName]row{}} }
@@ -41,7 +46,48 @@
 	mux.HandleFunc("POST /comfreycart/rows-tx", s.transact)
 	mux.HandleFunc("GET /comfreycart/rows-get", s.get)
 	mux.HandleFunc("GET /comfreycart/rows-feed", s.feed)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		down := s.down
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// restore brings the store back as it was at a time; the operator then writes its rows again. It returns the
+// number of rows that the copy lacks.
+func (s *store) restore(copied time.Time) (lost int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, rows := s.history, s.rows
+	s.history, s.rows, s.ver = nil, map[rowName]row{}, 0
+	for _, r := range before {
+		if r.writtenAt.After(copied) {
+			break
+		}
+		s.history, s.rows[r.rowName], s.ver = append(s.history, r), r, r.Ver
+	}
+	lost = len(rows) - len(s.rows)
+	for name, r := range rows {
+		if name.Table == "op" {
+			s.ver++
+			s.set(row{rowName: name, Value: r.Value, Ver: s.ver})
+		}
+	}
+	s.era++
+	s.down = false
+	return lost
 }
 
 // put writes a row as the operator does.
@@ -53,6 +99,7 @@
 }
 
 func (s *store) set(r row) {
+	r.writtenAt = time.Now()
 	s.rows[r.rowName] = r
 	s.history = append(s.history, r)
 }
@@ -137,6 +184,11 @@
 	}
 	for end := time.Now().Add(time.Duration(waitMs) * time.Millisecond); ; time.Sleep(5 * time.Millisecond) {
 		s.mu.Lock()
+		if after > s.ver {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		list := []row{}
 		for _, x := range s.history {
 			if x.Table == q.Get("table") && x.Ver > after {
